Judge weights by the first version that replaced them; let more replicas wait for their order

A batch of three replicas took 1.6 s, most of it waiting for running streams. Change: the assigner keeps the times of the named versions; two replicas in five are updated at a time.

--- a/internal/control/upgrade/planner.go
+++ b/internal/control/upgrade/planner.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// loadingShare is the part of a service's replicas that load weights at the same time.
-	loadingShare = 1.0 / 6
+	// updatingShare is the part of a service's replicas that are updated at the same time. Most of them wait for the end of
+	// the requests in hand, so that few load at once.
+	updatingShare = 0.4
 	// notice is how long before its order a replica gets no new requests, so that the order finds little running.
 	notice = 300 * time.Millisecond
 	// firstCheck is how long after an accepted order the replica is asked whether it is done; checkAgain is the time
@@ -163,9 +164,9 @@
 	return least
 }
 
-// atOnce is how many replicas of a service load at the same time.
+// atOnce is how many replicas of a service are updated at the same time.
 func atOnce(replicas int) int {
-	return max(1, int(float64(replicas)*loadingShare+0.5))
+	return max(1, int(float64(replicas)*updatingShare+0.5))
 }
 
 // behind returns a model of the replica for which newer weights are named.
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -37,6 +37,8 @@
 	oldWeightsShare = 0.8
 	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, on top of the expected time.
 	silenceTimeout = 700 * time.Millisecond
+	// keptWeights is the number of versions of a model that are remembered with their time.
+	keptWeights = 32
 )
 
 // Settings bound the decisions.
@@ -55,11 +57,11 @@
 	settings Settings
 	replicas map[unit.EndpointID]*replica
 	services map[table.ServiceName][]*replica // by id
-	newest   map[unit.ModelName]namedWeights
+	named    map[unit.ModelName][]namedWeights // in the order of their numbers
 	loadsAt  unit.Moment
 }
 
-// namedWeights is the newest version of a model's weights and when this host learned of it.
+// namedWeights is a version of a model's weights and when this host learned of it.
 type namedWeights struct {
 	number book.WeightsNumber
 	at     unit.Moment
@@ -80,7 +82,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		newest: map[unit.ModelName]namedWeights{},
+		named: map[unit.ModelName][]namedWeights{},
 	}
 }
 
@@ -149,10 +151,26 @@
 // SetNewest notes the newest weights of each model.
 func (a *Assigner) SetNewest(now unit.Moment, newest map[unit.ModelName]book.WeightsNumber) {
 	for model, number := range newest {
-		if number > a.newest[model].number {
-			a.newest[model] = namedWeights{number, now}
+		named := a.named[model]
+		if len(named) > 0 && named[len(named)-1].number >= number {
+			continue
+		}
+		if len(named) >= keptWeights {
+			named = named[1:]
+		}
+		a.named[model] = append(named, namedWeights{number, now})
+	}
+}
+
+// replacedFor returns how long ago newer weights than those of that number were named, 0 if they are the newest. What counts
+// is the first version that replaced them: a later one doesn't make them younger.
+func (a *Assigner) replacedFor(now unit.Moment, model unit.ModelName, number book.WeightsNumber) time.Duration {
+	for _, named := range a.named[model] {
+		if named.number > number {
+			return now.Sub(named.at)
 		}
 	}
+	return 0
 }
 
 // Serves reports whether any endpoint is known that may take requests.
@@ -204,8 +222,7 @@
 	if !w.Prompted {
 		return true
 	}
-	newest := a.newest[w.Model]
-	return r.weights(w.Model) >= newest.number || now.Sub(newest.at) < a.settings.WeightsLimit
+	return a.replacedFor(now, w.Model, r.weights(w.Model)) < a.settings.WeightsLimit
 }
 
 // value is the expected part of its worth that the request earns at the endpoint, less the costs of the choice.
@@ -221,7 +238,7 @@
 	if now.Sub(r.heardAt) > a.settings.ReportSilence {
 		worth *= silentShare
 	}
-	if newest := a.newest[w.Model]; w.Prompted && r.weights(w.Model) < newest.number && now.Sub(newest.at) > a.settings.WeightsGrace {
+	if w.Prompted && a.replacedFor(now, w.Model, r.weights(w.Model)) > a.settings.WeightsGrace {
 		worth *= oldWeightsShare
 	}
 	reading := float64(missing) / readRate * float64(time.Millisecond)
--- /dev/null
+++ b/internal/routing/assign/assigner_test.go
@@ -0,0 +1,75 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/planning/table"
+)
+
+var testSettings = Settings{DataCentre: "a", ReportSilence: 3 * time.Second, WeightsGrace: time.Second, WeightsLimit: 9 * time.Second}
+
+var testEngine = &table.Service{Name: "llm", Engine: &table.Engine{Slots: 64, Memory: 100_000}}
+
+func at(ms int) unit.Moment {
+	return unit.Moment(time.Duration(ms) * time.Millisecond)
+}
+
+func endpoint(id string, weights book.WeightsNumber, heard unit.Moment) registry.Endpoint {
+	return registry.Endpoint{
+		Report: registry.Report{
+			ID: unit.EndpointID(id), Service: "llm", Address: id + ":80", DataCentre: "a", Slots: 64, Born: 1,
+			Weights: map[unit.ModelName]book.WeightsNumber{"m": weights},
+		},
+		HeardAt: heard,
+	}
+}
+
+func serving(endpoints ...registry.Endpoint) *Assigner {
+	a := New(testSettings)
+	set(a, endpoints...)
+	return a
+}
+
+func set(a *Assigner, endpoints ...registry.Endpoint) {
+	a.SetEndpoints(endpoints, func(table.ServiceName) (*table.Service, bool) { return testEngine, true }, func(unit.EndpointID) bool { return false })
+}
+
+func prompt(shared, own string) *Work {
+	return &Work{
+		Service: "llm", Prompted: true, Model: "m", Prompt: 9000, Output: 10, Objective: 500 * time.Millisecond, Patience: 3 * time.Second,
+		Parts: []Part{{ID: shared, Tokens: 6000}, {ID: own, Tokens: 3000}},
+	}
+}
+
+// Guards against weights that seem young because yet newer ones were named after those that replaced them.
+func TestNoRequestBeginsOnWeightsThatWereReplacedLongAgo(t *testing.T) {
+	cases := []struct {
+		name  string
+		named []int // moments in ms at which versions 2, 3, ... are named
+		holds book.WeightsNumber
+		at    int
+		may   bool
+	}{
+		{name: "newest", named: []int{0}, holds: 2, at: 20_000, may: true},
+		{name: "replaced lately", named: []int{0}, holds: 1, at: 8_000, may: true},
+		{name: "replaced long ago", named: []int{0}, holds: 1, at: 9_500},
+		{name: "replaced again and again", named: []int{0, 4_000, 8_000}, holds: 1, at: 9_500},
+		{name: "its replacement was replaced", named: []int{0, 4_000, 8_000}, holds: 2, at: 12_500, may: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := serving(endpoint("e", c.holds, at(c.at)))
+			for i, moment := range c.named {
+				a.SetNewest(at(moment), map[unit.ModelName]book.WeightsNumber{"m": book.WeightsNumber(i + 2)})
+			}
+			_, may := a.Choose(at(c.at), prompt("s", "o"), nil)
+			assert.Equal(t, may, c.may)
+		})
+	}
+}
