Fetch shared prompt parts from where they are held instead of reading them again

Change: a choice names a replica to which this host sent the parts, or the store, as the source, and lets the engine save what it reads; homes are ranked among replicas with the same weights; shared tokens that are read again have a cost.

--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -49,6 +49,8 @@
 	Priority int                // 0 is the most urgent
 	CacheKey string             // requests with another one share no cached parts with this one
 	Weights  book.WeightsNumber // a replica with other weights must refuse the request, 0 accepts any
+	Source   string             // address from which the endpoint fetches parts of the prompt, empty for none
+	Save     string             // address of the store to which it sends parts that it read, empty for none
 	// ResumeAfter is the id of the last event that the caller has, empty for a new stream.
 	ResumeAfter string
 }
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -223,6 +223,10 @@
 	t := g.table.Load()
 	g.handler.With(func(a *assign.Assigner, l *allowance.Ledger) {
 		l.SetHosts(answer.EntryHosts)
+		a.SetHosts(answer.EntryHosts)
+		if t != nil {
+			a.SetStore(t.Store())
+		}
 		a.SetNewest(now, answer.Weights)
 		a.SetEndpoints(present, func(name table.ServiceName) (*table.Service, bool) {
 			if t == nil {
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -73,6 +73,15 @@
 	Slots  int              `cbor:"1,keyasint"` // requests in one batch
 	Memory unit.Tokens      `cbor:"2,keyasint"` // tokens that running requests and cached parts share
 	Models []unit.ModelName `cbor:"3,keyasint"`
+	// TokenBytes is the size of a cached token, and LinkBytes the bytes a second at which replicas pass cached parts on.
+	TokenBytes float64 `cbor:"4,keyasint"`
+	LinkBytes  float64 `cbor:"5,keyasint"`
+}
+
+// Store keeps parts of prompts that engines have read.
+type Store struct {
+	Address   string  `cbor:"1,keyasint"` // IP:port
+	LinkBytes float64 `cbor:"2,keyasint"` // bytes a second
 }
 
 // Service is a group of equal endpoints.
@@ -80,7 +89,7 @@
 	Name           ServiceName `cbor:"1,keyasint"`
 	MaxConnections int         `cbor:"2,keyasint"` // of one endpoint, from all callers together
 	Engine         *Engine     `cbor:"3,keyasint"`
-	Store          string      `cbor:"4,keyasint"` // address of a cache store, which no route leads to
+	Store          *Store      `cbor:"4,keyasint"` // of a cache store, which no route leads to
 }
 
 // Customer is who pays for a request, found by key.
@@ -168,7 +177,7 @@
 	total := 0
 	for _, target := range r.Targets {
 		service, ok := t.byService[target.Service]
-		if !ok || service.Store != "" {
+		if !ok || service.Store != nil {
 			return fault.BadInput.New("route %q names service %q, which is not defined", r.Name, target.Service)
 		}
 		if target.Weight < 0 {
@@ -212,6 +221,16 @@
 	return s, ok
 }
 
+// Store returns the cache store, nil without one.
+func (t *Table) Store() *Store {
+	for i := range t.Services {
+		if t.Services[i].Store != nil {
+			return t.Services[i].Store
+		}
+	}
+	return nil
+}
+
 // NeedsKey reports whether requests of the route must carry a customer's key.
 func (t *Table) NeedsKey(r *Route) bool {
 	return len(t.Customers) > 0 && !r.Public
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -5,14 +5,10 @@
 package assign
 
 import (
-	"cmp"
-	"encoding/binary"
 	"math"
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/book"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
@@ -27,6 +23,9 @@
 	comfort, spread = 0.75, 0.12
 	// readCost weighs the prompt tokens that a choice makes an engine read, as part of the objective.
 	readCost = 0.08
+	// againCost is the cost of 1,000 shared tokens that are read again, as a part of a request's worth. Reading a long shared
+	// prompt twice costs the site more than a late answer.
+	againCost = 0.25
 	// waitCost prefers the shorter wait among choices that are all in time.
 	waitCost = 0.05
 	// distanceCost is the cost of another data centre.
@@ -56,9 +55,11 @@
 type Assigner struct {
 	settings Settings
 	replicas map[unit.EndpointID]*replica
-	services map[table.ServiceName][]*replica // by id
+	services map[table.ServiceName][]*replica  // by id
 	named    map[unit.ModelName][]namedWeights // in the order of their numbers
 	loadsAt  unit.Moment
+	hosts    int          // entry hosts that share the endpoints
+	store    *table.Store // nil while there is none or it doesn't answer
 }
 
 // namedWeights is a version of a model's weights and when this host learned of it.
@@ -82,7 +83,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		named: map[unit.ModelName][]namedWeights{},
+		named: map[unit.ModelName][]namedWeights{}, hosts: 1,
 	}
 }
 
@@ -137,6 +138,16 @@
 	}
 }
 
+// SetStore says which cache store answers, nil for none.
+func (a *Assigner) SetStore(store *table.Store) {
+	a.store = store
+}
+
+// SetHosts says how many entry hosts share the endpoints.
+func (a *Assigner) SetHosts(hosts int) {
+	a.hosts = max(hosts, 1)
+}
+
 // Own returns what this host has in hand at each endpoint.
 func (a *Assigner) Own() map[unit.EndpointID]Load {
 	own := map[unit.EndpointID]Load{}
@@ -187,32 +198,27 @@
 // Endpoints in tried are left out.
 func (a *Assigner) Choose(now unit.Moment, w *Work, tried []unit.EndpointID) (Choice, bool) {
 	w.prepare()
-	ranks := a.ranks(w)
+	candidates := a.services[w.Service]
+	homes := a.homes(now, w, candidates)
 	var best *replica
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	bestPaused := false
-	for i, r := range a.services[w.Service] {
+	for i, r := range candidates {
 		if r.Draining || slices.Contains(tried, r.ID) || !a.mayBegin(now, r, w) {
 			continue
 		}
 		choice.Others++
-		rank := len(ranks)
-		if ranks != nil {
-			rank = ranks[i]
-		}
-		missing := unit.Tokens(0)
-		if w.Prompted {
-			missing = r.missing(w, rank)
-		}
-		expected := r.expected(w, missing)
-		value := a.value(now, r, w, expected, missing) - 1e-6*float64(rank)
+		supply := a.supply(now, r, w, homes, i)
+		expected := r.expected(w, supply.missing, supply.fetching)
+		value := a.value(now, r, w, expected, supply) - 1e-6*float64(homes.rank(i))
 		paused := r.pausedUntil > now || r.updating
 		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
 			continue
 		}
 		best, bestPaused = r, paused
 		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
-		choice.Expected, choice.Missing, choice.Value = expected, missing, value
+		choice.Expected, choice.Missing, choice.Value = expected, supply.missing, value
+		choice.Source, choice.Save = supply.source, supply.save
 	}
 	return choice, best != nil
 }
@@ -226,7 +232,7 @@
 }
 
 // value is the expected part of its worth that the request earns at the endpoint, less the costs of the choice.
-func (a *Assigner) value(now unit.Moment, r *replica, w *Work, expected time.Duration, missing unit.Tokens) float64 {
+func (a *Assigner) value(now unit.Moment, r *replica, w *Work, expected time.Duration, s supply) float64 {
 	objective := float64(max(w.Objective, time.Millisecond))
 	share := float64(expected) / objective
 	inTime := 1 / (1 + math.Exp((share-comfort)/spread))
@@ -241,39 +247,14 @@
 	if w.Prompted && a.replacedFor(now, w.Model, r.weights(w.Model)) > a.settings.WeightsGrace {
 		worth *= oldWeightsShare
 	}
-	reading := float64(missing) / readRate * float64(time.Millisecond)
-	worth -= readCost*reading/objective + waitCost*math.Min(share, 4)
+	reading := float64(s.missing) / readRate * float64(time.Millisecond)
+	worth -= readCost*reading/objective + waitCost*math.Min(share, 4) + againCost*float64(s.again)/1000
 	if r.DataCentre != a.settings.DataCentre {
 		worth -= distanceCost
 	}
 	return worth
 }
 
-// ranks returns the rank of each endpoint of the service among the homes of the prompt, nil without a prompt.
-func (a *Assigner) ranks(w *Work) []int {
-	home, ok := w.home()
-	if !ok {
-		return nil
-	}
-	candidates := a.services[w.Service]
-	weights := make([]uint64, len(candidates))
-	order := make([]int, len(candidates))
-	var buffer [8]byte
-	binary.BigEndian.PutUint64(buffer[:], uint64(home))
-	for i, r := range candidates {
-		hash := xxhash.New()
-		_, _ = hash.Write(buffer[:])
-		_, _ = hash.WriteString(string(r.ID))
-		weights[i], order[i] = hash.Sum64(), i
-	}
-	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(weights[j], weights[i]) })
-	ranks := make([]int, len(candidates))
-	for rank, i := range order {
-		ranks[i] = rank
-	}
-	return ranks
-}
-
 // Begin notes that the request is sent to the endpoint. It returns nil if the endpoint is gone.
 func (a *Assigner) Begin(now unit.Moment, w *Work, choice Choice) *Flight {
 	r, ok := a.replicas[choice.Endpoint]
@@ -284,7 +265,8 @@
 	if w.Prompted {
 		f.load.Tokens, f.load.Unread = w.tokens(), choice.Missing
 		if r.engine != nil {
-			r.cached.add(w, r.engine.Memory)
+			// Other hosts fill the same memory, so what this host sent there lasts for its share of it.
+			r.cached.add(w, r.engine.Memory/unit.Tokens(a.hosts))
 		}
 	}
 	r.own = r.own.Add(f.load)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -66,31 +66,8 @@
 	return r.own.Add(r.others)
 }
 
-// missing returns the prompt tokens that the endpoint would have to read. A replica that is the home of the prompt is
-// expected to hold the shared parts even if this host never sent them there, because other hosts choose the same home.
-func (r *replica) missing(w *Work, rank int) unit.Tokens {
-	held := r.cached.held(w)
-	if shared := len(w.Parts) - 1; held < shared && shared > 0 {
-		certain := r.unread(w, held)
-		assumed := r.unread(w, shared)
-		return certain - unit.Tokens(float64(certain-assumed)*homeShare(rank))
-	}
-	return r.unread(w, held)
-}
-
-// homeShare is the chance that the endpoint of that rank among a prefix's homes holds it.
-func homeShare(rank int) float64 {
-	switch rank {
-	case 0:
-		return 0.6
-	case 1:
-		return 0.15
-	default:
-		return 0
-	}
-}
-
-func (r *replica) unread(w *Work, held int) unit.Tokens {
+// unread is the part of the prompt that is left after its first parts.
+func (w *Work) unread(held int) unit.Tokens {
 	left := w.Prompt
 	for _, part := range w.Parts[:held] {
 		left -= part.Tokens
@@ -99,7 +76,7 @@
 }
 
 // expected returns the time until the first byte of an answer.
-func (r *replica) expected(w *Work, missing unit.Tokens) time.Duration {
+func (r *replica) expected(w *Work, missing unit.Tokens, fetching time.Duration) time.Duration {
 	l := r.load()
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
@@ -109,7 +86,7 @@
 	}
 	ms := r.factor * (float64(firstStep)/float64(time.Millisecond) + float64(l.Unread+missing)/readRate)
 	first := time.Duration(ms * float64(time.Millisecond))
-	return first + r.waitForMemory(w, l) + r.waitForSlot(l)
+	return first + fetching + r.waitForMemory(w, l) + r.waitForSlot(l)
 }
 
 // waitForMemory is the time until enough of the running requests have ended to make room. Their memory is expected to be
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -102,8 +102,12 @@
 	Expected time.Duration      // until the first byte of the answer
 	Missing  unit.Tokens        // prompt tokens that the endpoint is expected to read
 	Value    float64            // expected part of the request's worth
-	Others   int                // endpoints that were weighed against it
-	LoadAge  time.Duration      // age of what other hosts told of their load
+	// Source is the address of a replica or store from which the endpoint fetches parts that it lacks, empty for none.
+	Source string
+	// Save is the address of the store to which the endpoint sends the parts that it reads, empty for none.
+	Save    string
+	Others  int           // endpoints that were weighed against it
+	LoadAge time.Duration // age of what other hosts told of their load
 }
 
 // Ending says how an attempt at an endpoint ended.
