Expect other hosts to send where this one does; order updates of weights by what holds them up

Cause: replicas that had just loaded new weights got the requests of all hosts at once, as every host saw them idle (late answers came after 800 to 1,000 ms at an expected 200). Streams of 4 s held up the next load, and replicas that had crashed held the places of others for 6 s.

--- a/internal/control/upgrade/message.go
+++ b/internal/control/upgrade/message.go
@@ -11,7 +11,7 @@
 	ID      unit.EndpointID
 	Service table.ServiceName
 	Born    int64
-	Leaving bool
+	Leaving bool // or not heard of for so long that it is probably gone
 	Weights map[unit.ModelName]book.WeightsNumber
 	Busy    int // requests in hand of all hosts
 }
--- a/internal/control/upgrade/planner.go
+++ b/internal/control/upgrade/planner.go
@@ -17,7 +17,10 @@
 const (
 	// updatingShare is the part of a service's replicas that are updated at the same time. Most of them wait for the end of
 	// the requests in hand, so that few load at once.
-	updatingShare = 0.4
+	updatingShare = 0.28
+	// upcomingBatches is how many batches ahead of their order replicas get no long requests any more, so that an order
+	// finds none running.
+	upcomingBatches = 2
 	// notice is how long before its order a replica gets no new requests, so that the order finds little running.
 	notice = 300 * time.Millisecond
 	// firstCheck is how long after an accepted order the replica is asked whether it is done; checkAgain is the time
@@ -64,6 +67,7 @@
 	fenced    bool // a replica has seen a higher number than this term
 	updates   map[unit.EndpointID]*update
 	skipped   map[unit.EndpointID]unit.Moment
+	upcoming  []unit.EndpointID
 	// learned holds what replicas said of their weights and haven't yet reported.
 	learned map[unit.EndpointID]Status
 }
@@ -80,6 +84,7 @@
 	p.updates = map[unit.EndpointID]*update{}
 	p.skipped = map[unit.EndpointID]unit.Moment{}
 	p.learned = map[unit.EndpointID]Status{}
+	p.upcoming = nil
 }
 
 // Updating returns the replicas that should get no new requests, by id.
@@ -92,6 +97,11 @@
 	return ids
 }
 
+// Upcoming returns the replicas that are updated next and should get no long requests.
+func (p *Planner) Upcoming() []unit.EndpointID {
+	return p.upcoming
+}
+
 // Step returns the actions that are due.
 func (p *Planner) Step(now unit.Moment, in Input) []Action {
 	if in.Term != p.term {
@@ -117,6 +127,8 @@
 		switch {
 		case !ok || r.Leaving || r.Born != u.born:
 			delete(p.updates, id)
+		case r.Weights[u.model] >= u.number && !u.waiting:
+			delete(p.updates, id)
 		case now.Sub(u.began) > giveUpAfter:
 			delete(p.updates, id)
 			p.skipped[id] = now.Add(skipFor)
@@ -141,12 +153,19 @@
 	slices.SortFunc(waiting, func(a, b Replica) int {
 		return cmp.Or(cmp.Compare(oldest(a, in), oldest(b, in)), cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.ID, b.ID))
 	})
+	p.upcoming = nil
 	for _, r := range waiting {
 		model, number, behind := p.behind(r, in)
-		if !behind || r.Leaving || p.updates[r.ID] != nil || p.skipped[r.ID] > now || running[r.Service] >= atOnce(total[r.Service]) {
+		if !behind || r.Leaving || p.updates[r.ID] != nil || p.skipped[r.ID] > now {
 			continue
 		}
 		running[r.Service]++
+		if most := atOnce(total[r.Service]); running[r.Service] > most {
+			if running[r.Service] <= (1+upcomingBatches)*most {
+				p.upcoming = append(p.upcoming, r.ID)
+			}
+			continue
+		}
 		p.updates[r.ID] = &update{
 			id: r.ID, service: r.Service, born: r.Born, model: model, number: number, began: now, due: now,
 		}
@@ -214,6 +233,12 @@
 		return
 	}
 	if status == nil {
+		if u.phase == phaseAsking {
+			// A replica that can't be asked would only hold up the others.
+			delete(p.updates, u.id)
+			p.skipped[u.id] = now.Add(skipFor)
+			return
+		}
 		u.due = now.Add(afterFailure)
 		return
 	}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -233,7 +233,7 @@
 				return nil, false
 			}
 			return t.Service(name)
-		}, func(id unit.EndpointID) bool { return slices.Contains(answer.Updating, id) })
+		}, answer.Updating, answer.Upcoming)
 		a.SetLoads(now, answer.Others)
 		if a.Serves() {
 			g.served.Store(true)
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -82,8 +82,9 @@
 	h.entries[from] = entryState{load: request.Load, at: now}
 	answer := SyncAnswer{
 		Age: now.Sub(m.Status().HeardAt), Weights: h.weights, Epoch: h.Incarnation, Others: h.loadsWithout(from, now),
-		Updating: h.updating(now), EntryHosts: h.entryHosts(now), Control: control,
+		EntryHosts: h.entryHosts(now), Control: control,
 	}
+	answer.Updating, answer.Upcoming = h.updating(now)
 	since := request.Number
 	if request.Epoch != h.Incarnation {
 		since = 0
@@ -131,17 +132,17 @@
 	return count
 }
 
-// updating returns the replicas whose weights are being changed, as the leader told.
-func (h *Hub) updating(now unit.Moment) []unit.EndpointID {
+// updating returns the replicas whose weights are being changed and those that are next, as the leader told.
+func (h *Hub) updating(now unit.Moment) (current, next []unit.EndpointID) {
 	if h.leads {
-		return h.planner.Updating()
+		return h.planner.Updating(), h.planner.Upcoming()
 	}
 	for _, other := range h.others {
 		if other.Leader && now.Sub(other.at) < forgottenAfter {
-			return other.Updating
+			return other.Updating, other.Upcoming
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // hearOther takes the state of another control host.
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -66,6 +66,8 @@
 	Engines Engines
 	// LeaseWait is how long a new leader sends no orders to replicas.
 	LeaseWait time.Duration
+	// ReportSilence is how long reports of a replica may be missing before it gets no orders.
+	ReportSilence time.Duration
 }
 
 // Hub is the control role of one process. It is safe for concurrent use.
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -35,7 +35,7 @@
 	}
 	state := State{Epoch: h.Incarnation, Loads: loads, Entries: h.ownEntries(now), Leader: h.leads, Control: control}
 	if h.leads {
-		state.Updating = h.planner.Updating()
+		state.Updating, state.Upcoming = h.planner.Updating(), h.planner.Upcoming()
 	}
 	messages := map[unit.HostName]State{}
 	for _, name := range control {
@@ -144,7 +144,7 @@
 	for _, e := range h.registry.Present() {
 		if len(e.Weights) > 0 {
 			input.Replicas = append(input.Replicas, upgrade.Replica{
-				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining, Weights: e.Weights, Busy: busy[e.ID].Requests,
+				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining || now.Sub(e.HeardAt) > h.ReportSilence, Weights: e.Weights, Busy: busy[e.ID].Requests,
 			})
 		}
 	}
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -43,6 +43,7 @@
 	Updating   []unit.EndpointID                     `cbor:"7,keyasint,omitempty"`
 	EntryHosts int                                   `cbor:"8,keyasint"`
 	Control    []unit.HostName                       `cbor:"9,keyasint"`
+	Upcoming   []unit.EndpointID                     `cbor:"10,keyasint,omitempty"` // updated next
 }
 
 // State is what control hosts tell each other.
@@ -54,6 +55,7 @@
 	Leader   bool              `cbor:"5,keyasint,omitempty"`
 	Updating []unit.EndpointID `cbor:"6,keyasint,omitempty"` // told by the leader
 	Control  []unit.HostName   `cbor:"7,keyasint,omitempty"`
+	Upcoming []unit.EndpointID `cbor:"8,keyasint,omitempty"`
 }
 
 // Engines is the protocol by which replicas take orders.
--- a/internal/host/site/process.go
+++ b/internal/host/site/process.go
@@ -124,7 +124,7 @@
 		p.hub = hub.New(hub.Dependencies{
 			Name: s.Name, Incarnation: unit.Incarnation(time.Now().UnixNano()), DataFolder: s.DataFolder, Seeds: s.Seeds.Names,
 			Form: s.Form, Voters: s.Voters, Timer: p.timer, Log: p.log, Call: p.link.Call, Send: p.link.Send,
-			Engines: protocol.Engines(p.timer.Now, s.Name, p.log), LeaseWait: s.LeaseWait,
+			Engines: protocol.Engines(p.timer.Now, s.Name, p.log), LeaseWait: s.LeaseWait, ReportSilence: s.Assign.ReportSilence,
 		})
 		if err := p.listen(s.Control, protocol.Control(p.hub, p.log), false); err != nil {
 			return err
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -36,6 +36,10 @@
 	oldWeightsShare = 0.8
 	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, on top of the expected time.
 	silenceTimeout = 700 * time.Millisecond
+	// longOutput is the number of tokens from which an answer takes seconds, and upcomingShare the worth of beginning one
+	// where it would hold up the next change of weights.
+	longOutput    unit.Tokens = 24
+	upcomingShare             = 0.7
 	// keptWeights is the number of versions of a model that are remembered with their time.
 	keptWeights = 32
 )
@@ -87,9 +91,11 @@
 	}
 }
 
-// SetEndpoints replaces the endpoints. The function service returns the service of a name, updating whether an endpoint's
-// weights are being changed.
-func (a *Assigner) SetEndpoints(endpoints []registry.Endpoint, service func(table.ServiceName) (*table.Service, bool), updating func(unit.EndpointID) bool) {
+// SetEndpoints replaces the endpoints. The function service returns the service of a name. The weights of the endpoints in
+// updating are being changed, those of upcoming are next.
+func (a *Assigner) SetEndpoints(
+	endpoints []registry.Endpoint, service func(table.ServiceName) (*table.Service, bool), updating, upcoming []unit.EndpointID,
+) {
 	kept := make(map[unit.EndpointID]*replica, len(endpoints))
 	services := map[table.ServiceName][]*replica{}
 	for _, e := range endpoints {
@@ -101,14 +107,15 @@
 		if !known || r.Born != e.Born {
 			r = newReplica(e, engine)
 		}
-		r.refresh(e, engine, updating(e.ID))
+		r.refresh(e, engine)
+		r.updating, r.upcoming = slices.Contains(updating, e.ID), slices.Contains(upcoming, e.ID)
 		kept[e.ID] = r
 		services[e.Service] = append(services[e.Service], r)
 	}
 	a.replicas, a.services = kept, services
 }
 
-func (r *replica) refresh(e registry.Endpoint, engine *table.Engine, updating bool) {
+func (r *replica) refresh(e registry.Endpoint, engine *table.Engine) {
 	for model, number := range e.Weights {
 		if known := r.Weights[model]; known != 0 && number > known {
 			r.cached.clear()
@@ -119,7 +126,7 @@
 		// A report after the failures shows that the endpoint is there again.
 		r.pausedUntil = e.HeardAt.Add(firstPause)
 	}
-	r.Report, r.heardAt, r.engine, r.updating = e.Report, e.HeardAt, engine, updating
+	r.Report, r.heardAt, r.engine = e.Report, e.HeardAt, engine
 	if len(learned) > 0 {
 		// An answer may have told of newer weights before the endpoint's report did.
 		merged := map[unit.ModelName]book.WeightsNumber{}
@@ -209,7 +216,7 @@
 		}
 		choice.Others++
 		supply := a.supply(now, r, w, homes, i)
-		expected := r.expected(w, supply.missing, supply.fetching)
+		expected := r.expected(w, r.load(now, a.hosts), supply.missing, supply.fetching)
 		value := a.value(now, r, w, expected, supply) - 1e-6*float64(homes.rank(i))
 		paused := r.pausedUntil > now || r.updating
 		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
@@ -247,6 +254,9 @@
 	if w.Prompted && a.replacedFor(now, w.Model, r.weights(w.Model)) > a.settings.WeightsGrace {
 		worth *= oldWeightsShare
 	}
+	if r.upcoming && w.Output >= longOutput {
+		worth *= upcomingShare
+	}
 	reading := float64(s.missing) / readRate * float64(time.Millisecond)
 	worth -= readCost*reading/objective + waitCost*math.Min(share, 4) + againCost*float64(s.again)/1000
 	if r.DataCentre != a.settings.DataCentre {
@@ -270,6 +280,7 @@
 		}
 	}
 	r.own = r.own.Add(f.load)
+	r.sent(now, f.load)
 	r.flights[f] = struct{}{}
 	return f
 }
--- a/internal/routing/assign/assigner_test.go
+++ b/internal/routing/assign/assigner_test.go
@@ -37,7 +37,7 @@
 }
 
 func set(a *Assigner, endpoints ...registry.Endpoint) {
-	a.SetEndpoints(endpoints, func(table.ServiceName) (*table.Service, bool) { return testEngine, true }, func(unit.EndpointID) bool { return false })
+	a.SetEndpoints(endpoints, func(table.ServiceName) (*table.Service, bool) { return testEngine, true }, nil, nil)
 }
 
 func prompt(shared, own string) *Work {
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -26,6 +26,10 @@
 	failureMemory = 4 * time.Second
 	// firstPause is how long an endpoint that can't be reached is left out; it doubles with each further failure.
 	firstPause, longestPause = 400 * time.Millisecond, 6 * time.Second
+	// loadLag is the age of what other hosts tell of their load, and untoldShare the part of this host's own sending that
+	// each of the others is expected to have sent to the same endpoint meanwhile.
+	loadLag     = 250 * time.Millisecond
+	untoldShare = 0.6
 	// fullPause is how long an endpoint that was full is left out.
 	fullPause = 60 * time.Millisecond
 )
@@ -36,8 +40,11 @@
 	heardAt  unit.Moment
 	engine   *table.Engine // nil for a plain service
 	updating bool          // its weights are being changed
+	upcoming bool          // its weights are changed next
 	own      Load          // in hand from this host
-	others   Load          // in hand from other hosts, as they told
+	recent   floatLoad     // sent from this host within loadLag, weighted by age
+	recentAt unit.Moment
+	others   Load // in hand from other hosts, as they told
 	flights  map[*Flight]struct{}
 
 	cached *partCache
@@ -62,8 +69,18 @@
 	}
 }
 
-func (r *replica) load() Load {
-	return r.own.Add(r.others)
+// load estimates what is in hand at the endpoint. What other hosts told is a fraction of a second old; since then each of
+// them has probably sent as much there as this host has, because all decide alike on the same view.
+func (r *replica) load(now unit.Moment, hosts int) Load {
+	keep := math.Exp(-float64(now.Sub(r.recentAt)) / float64(loadLag))
+	return r.own.Add(r.others).Add(r.recent.scale(keep * untoldShare * float64(hosts-1)).round())
+}
+
+// sent notes a load that other hosts can't know of yet.
+func (r *replica) sent(now unit.Moment, l Load) {
+	keep := math.Exp(-float64(now.Sub(r.recentAt)) / float64(loadLag))
+	r.recent = r.recent.scale(keep).add(l)
+	r.recentAt = now
 }
 
 // unread is the part of the prompt that is left after its first parts.
@@ -76,8 +93,7 @@
 }
 
 // expected returns the time until the first byte of an answer.
-func (r *replica) expected(w *Work, missing unit.Tokens, fetching time.Duration) time.Duration {
-	l := r.load()
+func (r *replica) expected(w *Work, l Load, missing unit.Tokens, fetching time.Duration) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
 		// Requests beyond the places wait for one to become free.
@@ -163,6 +179,23 @@
 	r.mean += time.Duration(learnShare * float64(took-r.mean))
 }
 
+// floatLoad is a load in fractions.
+type floatLoad struct {
+	requests, tokens, unread float64
+}
+
+func (l floatLoad) add(other Load) floatLoad {
+	return floatLoad{l.requests + float64(other.Requests), l.tokens + float64(other.Tokens), l.unread + float64(other.Unread)}
+}
+
+func (l floatLoad) round() Load {
+	return Load{Requests: int(l.requests + 0.5), Tokens: unit.Tokens(l.tokens), Unread: unit.Tokens(l.unread)}
+}
+
+func (l floatLoad) scale(by float64) floatLoad {
+	return floatLoad{l.requests * by, l.tokens * by, l.unread * by}
+}
+
 // partCache models which prompt parts an engine holds: the most recently used ones that fit its memory.
 type partCache struct {
 	memory unit.Tokens
