--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -40,6 +40,8 @@
 	// where it would hold up the next change of weights.
 	longOutput    unit.Tokens = 24
 	upcomingShare             = 0.7
+	// waitError is how many times the expected wait is allowed for where a request must not begin too late.
+	waitError = 3
 	// keptWeights is the number of versions of a model that are remembered with their time.
 	keptWeights = 32
 )
@@ -211,12 +213,15 @@
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	bestPaused := false
 	for i, r := range candidates {
-		if r.Draining || slices.Contains(tried, r.ID) || !a.mayBegin(now, r, w) {
+		if r.Draining || slices.Contains(tried, r.ID) {
 			continue
 		}
-		choice.Others++
 		supply := a.supply(now, r, w, homes, i)
 		expected := r.expected(w, r.load(now, a.hosts), supply.missing, supply.fetching)
+		if !a.mayBegin(now, r, w, expected) {
+			continue
+		}
+		choice.Others++
 		value := a.value(now, r, w, expected, supply) - 1e-6*float64(homes.rank(i))
 		paused := r.pausedUntil > now || r.updating
 		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
@@ -230,12 +235,14 @@
 	return choice, best != nil
 }
 
-// mayBegin reports whether the endpoint's weights are new enough for the request to begin there.
-func (a *Assigner) mayBegin(now unit.Moment, r *replica, w *Work) bool {
+// mayBegin reports whether the endpoint's weights will be new enough when the request begins there. The wait at an endpoint
+// may turn out to be longer than expected.
+func (a *Assigner) mayBegin(now unit.Moment, r *replica, w *Work, expected time.Duration) bool {
 	if !w.Prompted {
 		return true
 	}
-	return a.replacedFor(now, w.Model, r.weights(w.Model)) < a.settings.WeightsLimit
+	replaced := a.replacedFor(now, w.Model, r.weights(w.Model))
+	return replaced == 0 || replaced+waitError*expected < a.settings.WeightsLimit
 }
 
 // value is the expected part of its worth that the request earns at the endpoint, less the costs of the choice.
--- a/internal/routing/assign/assigner_test.go
+++ b/internal/routing/assign/assigner_test.go
@@ -73,3 +73,14 @@
 		})
 	}
 }
+
+// Guards against a request that is sent in time to a busy replica and begins there after its weights may no longer be used.
+func TestTheWaitCountsTowardsTheLimitOfOldWeights(t *testing.T) {
+	a := serving(endpoint("e", 1, at(8_500)))
+	a.SetNewest(at(0), map[unit.ModelName]book.WeightsNumber{"m": 2})
+	_, may := a.Choose(at(8_500), prompt("s", "o"), nil)
+	assert.Assert(t, may)
+	a.SetLoads(at(8_500), map[unit.EndpointID]Load{"e": {Requests: 10, Tokens: 60_000, Unread: 30_000}})
+	_, may = a.Choose(at(8_500), prompt("s", "o"), nil)
+	assert.Assert(t, !may)
+}
