Follow the events of engines and stores; save and fetch by what is known to be held

Change: control hosts share the events of all places among them and pass changes to entry hosts; a source is named only where it holds more, another replica before the store, and only prompts that nobody holds are saved.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -107,7 +107,7 @@
 	order.Priority = priority
 	if r.work.Prompted {
 		order.Weights, order.Source, order.Save = choice.Weights, choice.Source, choice.Save
-		order.CacheKey = "w" + strconv.FormatUint(uint64(choice.Weights), 10) + "." + string(r.work.Wall)
+		order.CacheKey = assign.CacheKey(choice.Weights, r.work.Wall)
 	}
 	header := r.call.Header.Clone()
 	r.h.Wire.Encode(header, order)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -70,6 +70,7 @@
 	next     int             // which one is asked after it
 	epoch    unit.Incarnation
 	number   uint64
+	held     uint64 // number of the last change of cached parts
 	inTouch  bool
 	served   atomic.Bool // an endpoint has been known
 }
@@ -167,7 +168,7 @@
 		g.hub = known[g.next%len(known)]
 		g.next++
 	}
-	request.Epoch, request.Number = g.epoch, g.number
+	request.Epoch, request.Number, request.Holding = g.epoch, g.number, g.held
 	return g.hub, request
 }
 
@@ -205,7 +206,7 @@
 		g.control = answer.Control
 	}
 	g.registry.Merge(now, answer.Update)
-	g.epoch, g.number = answer.Epoch, answer.Update.Number
+	g.epoch, g.number, g.held = answer.Epoch, answer.Update.Number, answer.Holding.Number
 	for _, record := range answer.Update.Records {
 		g.Log.Info("endpoint-known", "endpoint", string(record.ID), "service", string(record.Service), "draining", record.Draining,
 			"left", record.Left, "weights", record.Weights, "report-age-ms", record.Age.Milliseconds())
@@ -235,6 +236,7 @@
 			return t.Service(name)
 		}, answer.Updating, answer.Upcoming)
 		a.SetLoads(now, answer.Others)
+		a.SetHoldings(answer.Holding)
 		if a.Serves() {
 			g.served.Store(true)
 		}
--- /dev/null
+++ b/internal/host/hub/feeds.go
@@ -0,0 +1,202 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronglade/citronglade/internal/base/codec"
+	"github.com/citronglade/citronglade/internal/base/timer"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/holding"
+)
+
+const (
+	// feedInterval is the time between two looks at which places this host follows.
+	feedInterval = 250 * time.Millisecond
+	// feedWait is how long a place may hold a question for events, and feedTimeout bounds the question.
+	feedWait, feedTimeout = time.Second, 1800 * time.Millisecond
+	// feedPause lets events gather between two questions.
+	feedPause = 60 * time.Millisecond
+	// feedRetry is the pause after a failed question.
+	feedRetry = 400 * time.Millisecond
+	// feedFailures is the number of failed questions in a row after which nothing is known of a place.
+	feedFailures = 2
+)
+
+// feedPlace is an engine or a store whose events are followed.
+type feedPlace struct {
+	place   holding.Place
+	id      unit.EndpointID // empty for a store
+	born    int64
+	address string
+}
+
+// follow starts and ends the following of places. Each is followed by one control host.
+func (h *Hub) follow(ctx context.Context) {
+	wanted := map[feedPlace]bool{}
+	for _, place := range h.feedPlaces() {
+		if h.follows(place.place) {
+			wanted[place] = true
+		}
+	}
+	for place, stop := range h.feeds {
+		if !wanted[place] {
+			stop()
+			delete(h.feeds, place)
+		}
+	}
+	for place := range wanted {
+		if h.feeds[place] == nil {
+			feedContext, stop := context.WithCancel(ctx)
+			h.feeds[place] = stop
+			go h.read(feedContext, place)
+		}
+	}
+}
+
+// feedPlaces returns all engines and the store.
+func (h *Hub) feedPlaces() []feedPlace {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var places []feedPlace
+	now := h.Timer.Now()
+	for _, e := range h.registry.Present() {
+		if len(e.Weights) > 0 && now.Sub(e.HeardAt) < h.ReportSilence {
+			places = append(places, feedPlace{place: holding.Place(e.ID), id: e.ID, born: e.Born, address: e.Address})
+		}
+	}
+	if h.page.Version == 0 {
+		return places
+	}
+	if h.storeOf != h.page.Version {
+		h.storeOf, h.store = h.page.Version, storeAddress(h.page.Table)
+	}
+	if h.store != "" {
+		places = append(places, feedPlace{place: holding.Place(h.store), address: h.store})
+	}
+	return places
+}
+
+// storeAddress returns the address of the table's store. A table that can't be read was refused when it was submitted.
+func storeAddress(encoded []byte) string {
+	var t table.Table
+	if err := codec.Unmarshal(encoded, &t); err != nil {
+		return ""
+	}
+	if s := t.Store(); s != nil {
+		return s.Address
+	}
+	return ""
+}
+
+// follows reports whether this host is the one that follows a place, by rendezvous hashing over the control hosts that are
+// heard.
+func (h *Hub) follows(place holding.Place) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Timer.Now()
+	own := followWeight(h.Name, place)
+	for name, other := range h.others {
+		if now.Sub(other.at) < forgottenAfter && followWeight(name, place) > own {
+			return false
+		}
+	}
+	return true
+}
+
+func followWeight(name unit.HostName, place holding.Place) uint64 {
+	return xxhash.Sum64String(string(name) + "\x00" + string(place))
+}
+
+// read follows the events of one place until ctx ends.
+func (h *Hub) read(ctx context.Context, place feedPlace) {
+	var since, epoch uint64
+	failures := 0
+	for ctx.Err() == nil {
+		question, cancel := context.WithTimeout(ctx, feedTimeout)
+		feed, err := h.Engines.Events(question, place.id, place.address, since, feedWait)
+		cancel()
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			failures++
+			if failures == feedFailures {
+				h.forget(place, err)
+			}
+			timer.Sleep(ctx, feedRetry)
+			continue
+		}
+		change := holding.Change{Place: place.place, Cleared: since == 0 || feed.Epoch != epoch || feed.Lost || failures >= feedFailures}
+		failures = 0
+		since, epoch = feed.Next, feed.Epoch
+		h.held(change, feed.Events)
+		timer.Sleep(ctx, feedPause)
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.own.Forget(place.place)
+}
+
+func (h *Hub) forget(place feedPlace, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.own.Known(place.place) {
+		h.Log.Warn("events-lost", "place", string(place.place), "cause", err.Error())
+	}
+	h.own.Forget(place.place)
+	h.holdings.Forget(place.place)
+}
+
+// held applies events in their order.
+func (h *Hub) held(change holding.Change, events []FeedEvent) {
+	last := map[holding.Part]bool{} // whether it was removed
+	for _, event := range events {
+		last[holding.NewPart(event.CacheKey, event.Part)] = event.Removed
+	}
+	for part, removed := range last {
+		if removed {
+			change.Removed = append(change.Removed, part)
+		} else {
+			change.Added = append(change.Added, part)
+		}
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	changes := []holding.Change{change}
+	h.own.Apply(changes)
+	h.holdings.Apply(changes)
+}
+
+// mergeHoldings takes what another control host follows. The lock must be held.
+func (h *Hub) mergeHoldings(from unit.HostName, update holding.Update) {
+	if update.Whole {
+		told := map[holding.Place]bool{}
+		for _, change := range update.Changes {
+			told[change.Place] = true
+		}
+		for place, owner := range h.owners {
+			if owner == from && !told[place] {
+				h.holdings.Forget(place)
+				delete(h.owners, place)
+			}
+		}
+	}
+	for _, change := range update.Changes {
+		if change.Gone {
+			if h.owners[change.Place] == from {
+				delete(h.owners, change.Place)
+				h.holdings.Forget(change.Place)
+			}
+			continue
+		}
+		if h.owners[change.Place] != from {
+			h.owners[change.Place] = from
+			change.Cleared = true
+		}
+		h.holdings.Apply([]holding.Change{change})
+	}
+}
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/control/leader"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 // Handle answers one message of another host. It fails with fault.NotFound for a kind that isn't a hub's.
@@ -85,11 +86,12 @@
 		EntryHosts: h.entryHosts(now), Control: control,
 	}
 	answer.Updating, answer.Upcoming = h.updating(now)
-	since := request.Number
+	since, held := request.Number, request.Holding
 	if request.Epoch != h.Incarnation {
-		since = 0
+		since, held = 0, ^uint64(0)
 	}
 	answer.Update = h.registry.Since(now, since)
+	answer.Holding = h.holdings.Since(held)
 	if h.page.Version > request.TableVersion {
 		answer.Table = h.page.Table
 	}
@@ -159,8 +161,10 @@
 		h.Log.Info("control-host-heard", "host", string(from), "epoch", uint64(state.Epoch))
 	}
 	h.registry.Merge(now, state.Update)
-	state.Update = registry.Update{}
-	h.others[from] = otherState{State: state, at: now, sent: known.sent}
+	h.mergeHoldings(from, state.Holding)
+	read := state.Holding.Number
+	state.Update, state.Holding = registry.Update{}, holding.Update{}
+	h.others[from] = otherState{State: state, at: now, sent: known.sent, read: read}
 	return nil
 }
 
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -25,6 +25,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 const (
@@ -79,7 +80,8 @@
 	Dependencies
 	group   *group
 	leaders *leader.Caller
-	recall  *recall.File // used by the loop that saves only
+	recall  *recall.File                     // used by the loop that saves only
+	feeds   map[feedPlace]context.CancelFunc // used by the loop that follows only
 
 	mu       sync.Mutex
 	registry *registry.Registry
@@ -90,6 +92,11 @@
 	planner  *upgrade.Planner
 	rounds   int
 	leads    bool
+	own      *holding.Map // cached parts at the places that this host follows
+	holdings *holding.Map // at all places
+	owners   map[holding.Place]unit.HostName
+	store    string // address of the table's store
+	storeOf  table.Version
 	saved    uint64 // number of the registry's content that was saved last
 	changes  int    // of the book that aren't saved
 }
@@ -105,6 +112,7 @@
 	State
 	at   unit.Moment
 	sent uint64 // number of the registry's last change that was sent there
+	read uint64 // number of its last change of cached parts that was read here
 }
 
 // New returns a hub that Run starts.
@@ -112,6 +120,7 @@
 	h := &Hub{
 		Dependencies: d, registry: registry.New(), weights: map[unit.ModelName]book.WeightsNumber{},
 		entries: map[unit.HostName]entryState{}, others: map[unit.HostName]otherState{}, planner: upgrade.New(d.LeaseWait),
+		own: holding.New(), holdings: holding.New(), owners: map[holding.Place]unit.HostName{}, feeds: map[feedPlace]context.CancelFunc{},
 	}
 	h.leaders = leader.New(d.Call, d.Seeds())
 	h.recall = recall.New(d.DataFolder)
@@ -216,7 +225,7 @@
 	for _, loop := range []struct {
 		interval time.Duration
 		step     func(context.Context)
-	}{{stateInterval, h.tellOthers}, {planInterval, h.planVoters}, {upgradeInterval, h.stepUpgrades}, {pruneInterval, h.prune}, {saveInterval, h.save}} {
+	}{{stateInterval, h.tellOthers}, {planInterval, h.planVoters}, {upgradeInterval, h.stepUpgrades}, {pruneInterval, h.prune}, {saveInterval, h.save}, {feedInterval, h.follow}} {
 		actors.Add(func() error { return timer.Every(ctx, h.Timer, loop.interval, loop.step) }, stop)
 	}
 	go h.fetchRegistry(ctx)
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -48,6 +48,12 @@
 			since = 0
 		}
 		state.Update = h.registry.Since(now, since)
+		read := other.Read
+		if other.ReadEpoch != h.Incarnation {
+			read = 0
+		}
+		state.Holding = h.own.Since(read)
+		state.ReadEpoch, state.Read = other.Epoch, other.read
 		other.sent = state.Update.Number
 		h.others[name] = other
 		messages[name] = state
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 // Loads is what is in hand at each endpoint.
@@ -29,6 +30,8 @@
 	Epoch  unit.Incarnation `cbor:"2,keyasint"`
 	Number uint64           `cbor:"3,keyasint"`
 	Load   Loads            `cbor:"4,keyasint,omitempty"`
+	// Holding is the number of the last change of cached parts that the host has read from that hub.
+	Holding uint64 `cbor:"5,keyasint"`
 }
 
 // SyncAnswer is what a control host answers.
@@ -44,6 +47,7 @@
 	EntryHosts int                                   `cbor:"8,keyasint"`
 	Control    []unit.HostName                       `cbor:"9,keyasint"`
 	Upcoming   []unit.EndpointID                     `cbor:"10,keyasint,omitempty"` // updated next
+	Holding    holding.Update                        `cbor:"11,keyasint"`
 }
 
 // State is what control hosts tell each other.
@@ -56,6 +60,26 @@
 	Updating []unit.EndpointID `cbor:"6,keyasint,omitempty"` // told by the leader
 	Control  []unit.HostName   `cbor:"7,keyasint,omitempty"`
 	Upcoming []unit.EndpointID `cbor:"8,keyasint,omitempty"`
+	// Holding is what the reader lacks of the cached parts that this control host follows. ReadEpoch and Read say up to
+	// which change of the reader's own it was read here.
+	Holding   holding.Update   `cbor:"9,keyasint"`
+	ReadEpoch unit.Incarnation `cbor:"10,keyasint,omitempty"`
+	Read      uint64           `cbor:"11,keyasint,omitempty"`
+}
+
+// Feed is a piece of the events of an engine or store.
+type Feed struct {
+	Epoch  uint64 // changes when the place restarts
+	Next   uint64 // where the next piece begins
+	Lost   bool   // events are missing before these
+	Events []FeedEvent
+}
+
+// FeedEvent is a part that a place now holds or doesn't hold any more.
+type FeedEvent struct {
+	Removed  bool
+	CacheKey string
+	Part     string
 }
 
 // Engines is the protocol by which replicas take orders.
@@ -64,4 +88,6 @@
 	Status func(ctx context.Context, at registry.Endpoint) *upgrade.Status
 	// Order sends an order to a replica.
 	Order func(ctx context.Context, at registry.Endpoint, order upgrade.Order) upgrade.Reply
+	// Events waits up to wait for events of an engine, or of a store, which has no id.
+	Events func(ctx context.Context, id unit.EndpointID, address string, since uint64, wait time.Duration) (Feed, error)
 }
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -13,6 +13,7 @@
 	"github.com/citronglade/citronglade/internal/control/book"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 const (
@@ -65,7 +66,8 @@
 	named    map[unit.ModelName][]namedWeights // in the order of their numbers
 	loadsAt  unit.Moment
 	hosts    int          // entry hosts that share the endpoints
-	store    *table.Store // nil while there is none or it doesn't answer
+	store    *table.Store // nil without one
+	holdings *holding.Map // cached parts, as far as events tell
 }
 
 // namedWeights is a version of a model's weights and when this host learned of it.
@@ -89,7 +91,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		named: map[unit.ModelName][]namedWeights{}, hosts: 1,
+		named: map[unit.ModelName][]namedWeights{}, hosts: 1, holdings: holding.New(),
 	}
 }
 
@@ -147,11 +149,16 @@
 	}
 }
 
-// SetStore says which cache store answers, nil for none.
+// SetStore says which cache store there is, nil for none.
 func (a *Assigner) SetStore(store *table.Store) {
 	a.store = store
 }
 
+// SetHoldings takes changes of what is cached where.
+func (a *Assigner) SetHoldings(update holding.Update) {
+	a.holdings.Merge(update)
+}
+
 // SetHosts says how many entry hosts share the endpoints.
 func (a *Assigner) SetHosts(hosts int) {
 	a.hosts = max(hosts, 1)
@@ -283,7 +290,7 @@
 		f.load.Tokens, f.load.Unread = w.tokens(), choice.Missing
 		if r.engine != nil {
 			// Other hosts fill the same memory, so what this host sent there lasts for its share of it.
-			r.cached.add(w, r.engine.Memory/unit.Tokens(a.hosts))
+			r.cached.add(now, w, r.engine.Memory/unit.Tokens(a.hosts))
 		}
 	}
 	r.own = r.own.Add(f.load)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -200,45 +200,57 @@
 type partCache struct {
 	memory unit.Tokens
 	used   unit.Tokens
-	order  *list.List // of cachedPart, the most recently used first
+	order  *list.List // of *cachedPart, the most recently used first
 	parts  map[Prefix]*list.Element
 }
 
 type cachedPart struct {
 	prefix Prefix
 	tokens unit.Tokens
+	sentAt unit.Moment // when a request with it was sent last
 }
 
 func newPartCache(memory unit.Tokens) *partCache {
 	return &partCache{memory: memory, order: list.New(), parts: map[Prefix]*list.Element{}}
 }
 
-// held returns how many of the prompt's first parts are cached.
-func (c *partCache) held(w *Work) int {
-	for i, prefix := range w.prefixes {
-		if _, ok := c.parts[prefix]; !ok {
+// held returns how many of the prompt's first parts are cached, counting those that were sent after the moment since.
+func (c *partCache) held(w *Work, since unit.Moment) int {
+	for i := range w.prefixes {
+		if !c.has(w, i, since) {
 			return i
 		}
 	}
 	return len(w.prefixes)
 }
 
+func (c *partCache) has(w *Work, i int, since unit.Moment) bool {
+	element, ok := c.parts[w.prefixes[i]]
+	if !ok {
+		return false
+	}
+	part, _ := element.Value.(*cachedPart)
+	return part.sentAt >= since
+}
+
 // add notes that the engine reads the prompt. The parts of a request count as used last part first, so that a shared part
 // outlives what follows it.
-func (c *partCache) add(w *Work, memory unit.Tokens) {
+func (c *partCache) add(now unit.Moment, w *Work, memory unit.Tokens) {
 	c.memory = memory
 	for i := len(w.prefixes) - 1; i >= 0; i-- {
 		if element, ok := c.parts[w.prefixes[i]]; ok {
 			c.order.MoveToFront(element)
+			known, _ := element.Value.(*cachedPart)
+			known.sentAt = now
 			continue
 		}
-		part := cachedPart{w.prefixes[i], w.Parts[i].Tokens}
+		part := &cachedPart{w.prefixes[i], w.Parts[i].Tokens, now}
 		c.parts[part.prefix] = c.order.PushFront(part)
 		c.used += part.tokens
 	}
 	for c.used > c.memory && c.order.Len() > 0 {
 		last := c.order.Back()
-		part, _ := c.order.Remove(last).(cachedPart)
+		part, _ := c.order.Remove(last).(*cachedPart)
 		delete(c.parts, part.prefix)
 		c.used -= part.tokens
 	}
--- a/internal/routing/assign/supply.go
+++ b/internal/routing/assign/supply.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 const (
@@ -17,11 +18,13 @@
 	fetchLeast unit.Tokens = 48
 	// fetchSetup is the time that a fetch takes beside its bytes.
 	fetchSetup = 8 * time.Millisecond
+	// eventLag is how long after a request was sent the events of its parts may still be on their way.
+	eventLag = 800 * time.Millisecond
 	// farFactor is how much longer a fetch takes from another data centre.
 	farFactor = 2
 	// The chance that parts are found where they are looked for: where this host sent them, at the home of the prompt, at
 	// the next home, and in the store.
-	sentShare, homeShare, nextHomeShare, storeShare = 0.85, 0.6, 0.15, 0.7
+	sentShare, homeShare, nextHomeShare, storeShare = 0.9, 0.6, 0.15, 0.9
 )
 
 // homes ranks the endpoints for one prompt by rendezvous hashing. Every host finds the same order without being told, and an
@@ -82,26 +85,43 @@
 	save     string
 }
 
-// supply decides from where the endpoint at position i fetches the shared parts that it isn't known to hold.
+// held returns how many of the prompt's first parts the endpoint holds, and whether events tell so. What was sent there
+// lately counts although no event has told of it yet.
+func (a *Assigner) held(now unit.Moment, r *replica, w *Work) (held int, told bool) {
+	place := holding.Place(r.ID)
+	if !a.holdings.Known(place) {
+		return r.cached.held(w, 0), false
+	}
+	for i, part := range w.partsAt(r.weights(w.Model)) {
+		if !a.holdings.Holds(place, part) && !r.cached.has(w, i, now.Add(-eventLag)) {
+			return i, true
+		}
+	}
+	return len(w.Parts), true
+}
+
+// supply decides from where the endpoint at position i fetches the shared parts that it doesn't hold.
 func (a *Assigner) supply(now unit.Moment, r *replica, w *Work, h homes, i int) supply {
 	if !w.Prompted || r.engine == nil {
 		return supply{}
 	}
-	held, shared := r.cached.held(w), max(len(w.Parts)-1, 0)
+	held, told := a.held(now, r, w)
+	shared := max(len(w.Parts)-1, 0)
 	s := supply{missing: w.unread(held)}
-	if w.Prompt-w.unread(shared) < fetchLeast {
+	lacking := s.missing - w.unread(shared)
+	if held >= shared || lacking < fetchLeast {
 		return s
 	}
-	lacking := max(s.missing-w.unread(shared), 0)
-	// A fetch of parts that the endpoint holds costs next to nothing, and this host can't know what was evicted.
-	found, far := a.findSource(now, r, w, h, &s)
-	if a.store != nil {
-		s.save = a.store.Address
+	share := 0.0
+	if !told {
+		share = holdsShare(h.rank(i))
 	}
-	share := holdsShare(h.rank(i))
+	found, far := a.findSource(now, r, w, h, held, &s)
 	if s.source != "" {
 		s.fetching = time.Duration((1 - share) * found * float64(a.fetchTime(r, lacking, far)))
 		share = 1 - (1-share)*(1-found)
+	} else if a.store != nil && a.holdings.Known(holding.Place(a.store.Address)) {
+		s.save = a.store.Address
 	}
 	s.again = unit.Tokens((1 - share) * float64(lacking))
 	s.missing -= lacking - s.again
@@ -121,35 +141,51 @@
 	}
 }
 
-// findSource looks for a replica with the same weights to which this host sent the parts, else takes the store, which holds
-// what any replica has read, and without a store the prompt's home. It returns the chance that the parts are there.
-func (a *Assigner) findSource(now unit.Moment, r *replica, w *Work, h homes, s *supply) (found float64, far bool) {
+// findSource looks for a replica with the same weights that holds more of the shared parts than the endpoint, then for a
+// store that does. The store's one link serves all, so it comes last. Where no events tell, the prompt's home is asked. It
+// returns the chance that the parts are there.
+func (a *Assigner) findSource(now unit.Moment, r *replica, w *Work, h homes, held int, s *supply) (found float64, far bool) {
 	candidates := a.services[w.Service]
 	shared := len(w.Parts) - 1
 	var home *replica
+	most := held
 	for _, i := range h.order {
 		other := candidates[i]
 		if other == r || other.weights(w.Model) != r.weights(w.Model) || !a.reachable(now, other) {
 			continue
 		}
-		if other.cached.held(w) >= shared {
-			s.source = other.Address
-			return sentShare, other.DataCentre != r.DataCentre
+		holds, told := a.held(now, other, w)
+		holds = min(holds, shared)
+		if near := other.DataCentre == r.DataCentre; holds > most || holds == most && far && near && s.source != "" {
+			most, s.source, found, far = holds, other.Address, sentShare, !near
 		}
-		if home == nil && h.ranks[i] == 0 {
+		if home == nil && !told && h.ranks[i] == 0 {
 			home = other
 		}
 	}
-	switch {
-	case a.store != nil:
+	if most < shared && a.storeHolds(r, w, most) {
 		s.source = a.store.Address
 		return storeShare, true
-	case home != nil:
+	}
+	if s.source == "" && home != nil {
 		s.source = home.Address
 		return homeShare, home.DataCentre != r.DataCentre
-	default:
-		return 0, false
 	}
+	return found, far
+}
+
+// storeHolds reports whether the store holds more than so many of the prompt's first parts.
+func (a *Assigner) storeHolds(r *replica, w *Work, held int) bool {
+	if a.store == nil {
+		return false
+	}
+	place := holding.Place(a.store.Address)
+	for _, part := range w.partsAt(r.weights(w.Model))[:held+1] {
+		if !a.holdings.Holds(place, part) {
+			return false
+		}
+	}
+	return true
 }
 
 func (a *Assigner) fetchTime(r *replica, tokens unit.Tokens, far bool) time.Duration {
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -9,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/book"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
 // Part is a named part of a prompt. Requests that begin with the same parts share what an engine has cached of them.
@@ -32,7 +34,8 @@
 	Objective time.Duration
 	Patience  time.Duration // an answer that begins later is lost
 
-	prefixes []Prefix // by part, filled by prepare
+	prefixes []Prefix                              // by part, filled by prepare
+	held     map[book.WeightsNumber][]holding.Part // identities of the parts, by the weights that made them
 }
 
 // prepare computes the prefixes of the prompt's parts.
@@ -57,6 +60,28 @@
 	}
 }
 
+// partsAt returns the identities of the parts as made by those weights.
+func (w *Work) partsAt(weights book.WeightsNumber) []holding.Part {
+	if parts, ok := w.held[weights]; ok {
+		return parts
+	}
+	key := CacheKey(weights, w.Wall)
+	parts := make([]holding.Part, 0, len(w.Parts))
+	for _, part := range w.Parts {
+		parts = append(parts, holding.NewPart(key, part.ID))
+	}
+	if w.held == nil {
+		w.held = map[book.WeightsNumber][]holding.Part{}
+	}
+	w.held[weights] = parts
+	return parts
+}
+
+// CacheKey separates cached parts of other weights, and of a customer that shares none, from all others.
+func CacheKey(weights book.WeightsNumber, wall unit.CustomerID) string {
+	return "w" + strconv.FormatUint(uint64(weights), 10) + "." + string(wall)
+}
+
 // home is the prefix by which requests are kept together: the longest one that other requests share. The last part of a
 // prompt belongs to the request itself or to its session.
 func (w *Work) home() (Prefix, bool) {
--- /dev/null
+++ b/internal/routing/holding/map_test.go
@@ -0,0 +1,59 @@
+package holding
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// Guards against a reader that, after any changes read in any steps, believes something else than the source.
+func TestReadersAgreeWithTheSource(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		source, reader := New(), New()
+		read := uint64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			change := Change{
+				Place:   Place(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "place")),
+				Cleared: rapid.IntRange(0, 9).Draw(t, "clear") == 0,
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "parts") {
+				part := Part(rapid.Uint64Range(1, 5).Draw(t, "part"))
+				if rapid.Bool().Draw(t, "add") {
+					change.Added = append(change.Added, part)
+				} else {
+					change.Removed = append(change.Removed, part)
+				}
+			}
+			source.Apply([]Change{change})
+			if rapid.IntRange(0, 9).Draw(t, "forget") == 0 {
+				source.Forget("a")
+			}
+			if rapid.Bool().Draw(t, "reads") {
+				update := source.Since(read)
+				reader.Merge(update)
+				read = update.Number
+			}
+		}
+		reader.Merge(source.Since(read))
+		for _, place := range []Place{"a", "b"} {
+			assert.Equal(t, reader.Known(place), source.Known(place), "%s", place)
+			for part := Part(1); part <= 5; part++ {
+				assert.Equal(t, reader.Holds(place, part), source.Holds(place, part), "%s %d", place, part)
+			}
+		}
+	})
+}
+
+// Guards against a reader that lags behind the kept changes and misses some.
+func TestAReaderThatLagsGetsEverything(t *testing.T) {
+	source := New()
+	source.Apply([]Change{{Place: "a", Added: []Part{1}}})
+	number := source.Since(0).Number
+	for i := range 3 * mostChanges {
+		source.Apply([]Change{{Place: "b", Added: []Part{Part(i)}}})
+	}
+	update := source.Since(number)
+	assert.Assert(t, update.Whole, fmt.Sprint(len(update.Changes)))
+}
