Update the replicas with the fewest long answers first

Change: hosts tell how many long answers they have at a replica; the planner takes those with the fewest first, and replicas that are next get hardly any.

--- a/internal/control/upgrade/message.go
+++ b/internal/control/upgrade/message.go
@@ -13,7 +13,8 @@
 	Born    int64
 	Leaving bool // or not heard of for so long that it is probably gone
 	Weights map[unit.ModelName]book.WeightsNumber
-	Busy    int // requests in hand of all hosts
+	Long    int // requests in hand of all hosts whose answers take long
+	Busy    int // all requests in hand
 }
 
 // Input is what one step decides on.
--- a/internal/control/upgrade/planner.go
+++ b/internal/control/upgrade/planner.go
@@ -136,8 +136,8 @@
 	}
 }
 
-// start begins updates while places are free, on the replicas with the oldest weights first and among these on the least
-// busy.
+// start begins updates while places are free, on the replicas with the oldest weights first and among these on those with
+// the fewest long answers in hand, which an order would have to wait for.
 func (p *Planner) start(now unit.Moment, in Input) {
 	running := map[table.ServiceName]int{}
 	total := map[table.ServiceName]int{}
@@ -151,7 +151,7 @@
 	}
 	waiting := slices.Clone(in.Replicas)
 	slices.SortFunc(waiting, func(a, b Replica) int {
-		return cmp.Or(cmp.Compare(oldest(a, in), oldest(b, in)), cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.ID, b.ID))
+		return cmp.Or(cmp.Compare(oldest(a, in), oldest(b, in)), cmp.Compare(a.Long, b.Long), cmp.Compare(a.Busy, b.Busy), cmp.Compare(a.ID, b.ID))
 	})
 	p.upcoming = nil
 	for _, r := range waiting {
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -150,7 +150,7 @@
 	for _, e := range h.registry.Present() {
 		if len(e.Weights) > 0 {
 			input.Replicas = append(input.Replicas, upgrade.Replica{
-				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining || now.Sub(e.HeardAt) > h.ReportSilence, Weights: e.Weights, Busy: busy[e.ID].Requests,
+				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining || now.Sub(e.HeardAt) > h.ReportSilence, Weights: e.Weights, Busy: busy[e.ID].Requests, Long: busy[e.ID].Long,
 			})
 		}
 	}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -40,7 +40,7 @@
 	// longOutput is the number of tokens from which an answer takes seconds, and upcomingShare the worth of beginning one
 	// where it would hold up the next change of weights.
 	longOutput    unit.Tokens = 24
-	upcomingShare             = 0.7
+	upcomingShare             = 0.4
 	// waitError is how many times the expected wait is allowed for where a request must not begin too late.
 	waitError = 3
 	// keptWeights is the number of versions of a model that are remembered with their time.
@@ -231,6 +231,9 @@
 		choice.Others++
 		value := a.value(now, r, w, expected, supply) - 1e-6*float64(homes.rank(i))
 		paused := r.pausedUntil > now || r.updating
+		if paused {
+			choice.Paused++
+		}
 		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
 			continue
 		}
@@ -268,7 +271,7 @@
 	if w.Prompted && a.replacedFor(now, w.Model, r.weights(w.Model)) > a.settings.WeightsGrace {
 		worth *= oldWeightsShare
 	}
-	if r.upcoming && w.Output >= longOutput {
+	if r.upcoming && w.long() {
 		worth *= upcomingShare
 	}
 	reading := float64(s.missing) / readRate * float64(time.Millisecond)
@@ -288,6 +291,9 @@
 	f := &Flight{replica: r, work: w, sentAt: now, expected: choice.Expected, load: Load{Requests: 1}}
 	if w.Prompted {
 		f.load.Tokens, f.load.Unread = w.tokens(), choice.Missing
+		if w.long() {
+			f.load.Long = 1
+		}
 		if r.engine != nil {
 			// Other hosts fill the same memory, so what this host sent there lasts for its share of it.
 			r.cached.add(now, w, r.engine.Memory/unit.Tokens(a.hosts))
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -95,6 +95,11 @@
 	}
 }
 
+// long reports whether the answer takes so long that it would hold up a change of weights.
+func (w *Work) long() bool {
+	return w.Output >= longOutput
+}
+
 // tokens is the memory that the request takes at an engine.
 func (w *Work) tokens() unit.Tokens {
 	return w.Prompt + w.Output
@@ -105,17 +110,19 @@
 	Requests int         `cbor:"1,keyasint,omitempty"`
 	Tokens   unit.Tokens `cbor:"2,keyasint,omitempty"` // memory of the requests
 	Unread   unit.Tokens `cbor:"3,keyasint,omitempty"` // prompt tokens that are still to be read
+	Long     int         `cbor:"4,keyasint,omitempty"` // requests among them whose answers take long
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
+	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread, Long: l.Long + other.Long}
 }
 
 // Sub returns the load without other, never below zero.
 func (l Load) Sub(other Load) Load {
 	return Load{
 		Requests: max(0, l.Requests-other.Requests), Tokens: max(0, l.Tokens-other.Tokens), Unread: max(0, l.Unread-other.Unread),
+		Long: max(0, l.Long-other.Long),
 	}
 }
 
@@ -131,7 +138,8 @@
 	Source string
 	// Save is the address of the store to which the endpoint sends the parts that it reads, empty for none.
 	Save    string
-	Others  int           // endpoints that were weighed against it
+	Others  int           // endpoints that were weighed
+	Paused  int           // of these, how many should get nothing at the moment
 	LoadAge time.Duration // age of what other hosts told of their load
 }
 
