Take a replica that streams to others for alive; log what is expected to be read again

Cause: under load the attempts at slow replicas were given up as silent and made again elsewhere, which read prompts twice. Change: each event of a stream shows that its replica is alive; a choice logs the shared tokens that it expects to be read again; a source is named also for parts that may be evicted while the request waits, and only what events tell of is fetched.

--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -240,7 +240,7 @@
 		best, bestPaused = r, paused
 		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
 		choice.Expected, choice.Missing, choice.Value = expected, supply.missing, value
-		choice.Source, choice.Save = supply.source, supply.save
+		choice.Source, choice.Save, choice.Again = supply.source, supply.save, supply.again
 	}
 	return choice, best != nil
 }
@@ -319,6 +319,13 @@
 	f.load.Unread = 0
 }
 
+// Heard notes that the endpoint of the attempt sent something.
+func (a *Assigner) Heard(now unit.Moment, f *Flight) {
+	if f != nil {
+		f.replica.answeredAt = now
+	}
+}
+
 // End notes the end of the attempt.
 func (a *Assigner) End(now unit.Moment, f *Flight, ending Ending) {
 	if f == nil || f.ended {
--- a/internal/routing/assign/supply.go
+++ b/internal/routing/assign/supply.go
@@ -86,14 +86,14 @@
 }
 
 // held returns how many of the prompt's first parts the endpoint holds, and whether events tell so. What was sent there
-// lately counts although no event has told of it yet.
-func (a *Assigner) held(now unit.Moment, r *replica, w *Work) (held int, told bool) {
+// after the moment since counts although no event has told of it yet: it will be there once the endpoint has read it.
+func (a *Assigner) held(r *replica, w *Work, since unit.Moment) (held int, told bool) {
 	place := holding.Place(r.ID)
 	if !a.holdings.Known(place) {
 		return r.cached.held(w, 0), false
 	}
 	for i, part := range w.partsAt(r.weights(w.Model)) {
-		if !a.holdings.Holds(place, part) && !r.cached.has(w, i, now.Add(-eventLag)) {
+		if !a.holdings.Holds(place, part) && !r.cached.has(w, i, since) {
 			return i, true
 		}
 	}
@@ -105,11 +105,20 @@
 	if !w.Prompted || r.engine == nil {
 		return supply{}
 	}
-	held, told := a.held(now, r, w)
+	held, told := a.held(r, w, now.Add(-eventLag))
 	shared := max(len(w.Parts)-1, 0)
 	s := supply{missing: w.unread(held)}
 	lacking := s.missing - w.unread(shared)
-	if held >= shared || lacking < fetchLeast {
+	if held >= shared && shared > 0 {
+		// Parts may be evicted while the request waits. Naming a source for parts that are there costs nothing.
+		if a.storeHolds(r, w, shared-1) {
+			s.source = a.store.Address
+		} else {
+			a.findSource(now, r, w, h, 0, &s)
+		}
+		return s
+	}
+	if lacking < fetchLeast {
 		return s
 	}
 	share := 0.0
@@ -154,7 +163,7 @@
 		if other == r || other.weights(w.Model) != r.weights(w.Model) || !a.reachable(now, other) {
 			continue
 		}
-		holds, told := a.held(now, other, w)
+		holds, told := a.held(other, w, unit.Never) // parts that are still being read can't be fetched
 		holds = min(holds, shared)
 		if near := other.DataCentre == r.DataCentre; holds > most || holds == most && far && near && s.source != "" {
 			most, s.source, found, far = holds, other.Address, sentShare, !near
