Let one account of each place's cached parts count while several hosts follow it

Change: a control host keeps each other host's account apart and settles by weight whose counts, whole at each change. The two tests fail without the change.

--- a/internal/host/hub/feeds.go
+++ b/internal/host/hub/feeds.go
@@ -36,6 +36,9 @@
 
 // follow starts and ends the following of places. Each is followed by one control host.
 func (h *Hub) follow(ctx context.Context) {
+	h.mu.Lock()
+	h.forgetSilent(h.Timer.Now())
+	h.mu.Unlock()
 	wanted := map[feedPlace]bool{}
 	for _, place := range h.feedPlaces() {
 		if h.follows(place.place) {
@@ -132,6 +135,10 @@
 		}
 		change := holding.Change{Place: place.place, Cleared: since == 0 || feed.Epoch != epoch || feed.Lost || failures >= feedFailures}
 		failures = 0
+		if change.Cleared {
+			h.Log.Info("events-followed", "place", string(place.place), "epoch", feed.Epoch, "since", since, "next", feed.Next,
+				"events", len(feed.Events), "lost", feed.Lost)
+		}
 		since, epoch = feed.Next, feed.Epoch
 		h.held(change, feed.Events)
 		timer.Sleep(ctx, feedPause)
@@ -139,6 +146,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.own.Forget(place.place)
+	h.settle(place.place)
 }
 
 func (h *Hub) forget(place feedPlace, err error) {
@@ -148,7 +156,7 @@
 		h.Log.Warn("events-lost", "place", string(place.place), "cause", err.Error())
 	}
 	h.own.Forget(place.place)
-	h.holdings.Forget(place.place)
+	h.settle(place.place)
 }
 
 // held applies events in their order.
@@ -166,37 +174,79 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	changes := []holding.Change{change}
-	h.own.Apply(changes)
-	h.holdings.Apply(changes)
+	h.own.Apply([]holding.Change{change})
+	h.apply(h.Name, change)
 }
 
-// mergeHoldings takes what another control host follows. The lock must be held.
+// mergeHoldings takes what another control host follows. The lock must be held, as for the functions below.
 func (h *Hub) mergeHoldings(from unit.HostName, update holding.Update) {
+	mirror := h.mirrors[from]
+	if mirror == nil {
+		mirror = holding.New()
+		h.mirrors[from] = mirror
+	}
+	before := mirror.Places()
+	mirror.Merge(update)
+	for _, change := range update.Changes {
+		h.apply(from, change)
+	}
 	if update.Whole {
-		told := map[holding.Place]bool{}
-		for _, change := range update.Changes {
-			told[change.Place] = true
+		for _, place := range before {
+			h.settle(place)
 		}
-		for place, owner := range h.owners {
-			if owner == from && !told[place] {
-				h.holdings.Forget(place)
-				delete(h.owners, place)
-			}
+	}
+}
+
+// apply passes a change on if it comes from the host whose account of the place counts.
+func (h *Hub) apply(from unit.HostName, change holding.Change) {
+	known := h.owners[change.Place]
+	h.settle(change.Place)
+	if owner := h.owners[change.Place]; owner == from && owner == known {
+		h.holdings.Apply([]holding.Change{change})
+	}
+}
+
+// settle decides whose account of a place counts, as two hosts may follow it while they don't hear each other. After a
+// change the new host's account replaces the former one.
+func (h *Hub) settle(place holding.Place) {
+	owner, account := unit.HostName(""), (*holding.Map)(nil)
+	if h.own.Known(place) {
+		owner, account = h.Name, h.own
+	}
+	for name, mirror := range h.mirrors {
+		if mirror.Known(place) && (owner == "" || followWeight(name, place) > followWeight(owner, place)) {
+			owner, account = name, mirror
 		}
 	}
-	for _, change := range update.Changes {
-		if change.Gone {
-			if h.owners[change.Place] == from {
-				delete(h.owners, change.Place)
-				h.holdings.Forget(change.Place)
-			}
+	if owner == h.owners[place] {
+		return
+	}
+	if owner == "" {
+		delete(h.owners, place)
+		h.holdings.Forget(place)
+		return
+	}
+	h.owners[place] = owner
+	h.holdings.Apply([]holding.Change{{Place: place, Cleared: true, Added: account.Parts(place)}})
+}
+
+// forgetSilent drops the accounts of control hosts that aren't heard any more.
+func (h *Hub) forgetSilent(now unit.Moment) {
+	for name, mirror := range h.mirrors {
+		if now.Sub(h.others[name].at) < forgottenAfter {
 			continue
 		}
-		if h.owners[change.Place] != from {
-			h.owners[change.Place] = from
-			change.Cleared = true
+		delete(h.mirrors, name)
+		h.forgetRead(name)
+		for _, place := range mirror.Places() {
+			h.settle(place)
 		}
-		h.holdings.Apply([]holding.Change{change})
 	}
 }
+
+// forgetRead makes a control host send its whole account again.
+func (h *Hub) forgetRead(name unit.HostName) {
+	other := h.others[name]
+	other.read = 0
+	h.others[name] = other
+}
--- /dev/null
+++ b/internal/host/hub/feeds_test.go
@@ -0,0 +1,76 @@
+package hub
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/eventlog"
+	"github.com/citronglade/citronglade/internal/base/timer"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/holding"
+)
+
+func newTestHub(t *testing.T) *Hub {
+	t.Helper()
+	return New(Dependencies{
+		Name: "10.0.0.1", DataFolder: t.TempDir(), Seeds: func() []unit.HostName { return []unit.HostName{"10.0.0.1"} },
+		Timer: timer.NewManual(), Log: eventlog.Discard(),
+	})
+}
+
+// Guards against a control host that forgets what a place holds, or keeps only what changed since, when another one stops to
+// follow the same place. All hosts follow all places for a moment after they have restarted together.
+func TestAPlaceThatTwoHostsFollowedStaysKnown(t *testing.T) {
+	cases := []struct {
+		name  string
+		other unit.HostName // follows the place for a while beside its true follower
+	}{
+		{name: "the other one came first by weight", other: "10.0.0.2"},
+		{name: "the other one came last by weight", other: "10.0.0.3"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newTestHub(t)
+			follows, other := holding.New(), holding.New()
+			follower := unit.HostName("10.0.0.9")
+			tell := func(from unit.HostName, source *holding.Map, since *uint64) {
+				update := source.Since(*since)
+				*since = update.Number
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				h.mergeHoldings(from, update)
+			}
+			var readTrue, readOther uint64
+			other.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1}}})
+			tell(c.other, other, &readOther)
+			follows.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1, 2}}})
+			tell(follower, follows, &readTrue)
+			other.Forget("p")
+			tell(c.other, other, &readOther)
+			follows.Apply([]holding.Change{{Place: "p", Added: []holding.Part{3}}})
+			tell(follower, follows, &readTrue)
+			for part := holding.Part(1); part <= 3; part++ {
+				assert.Assert(t, h.holdings.Holds("p", part), "part %d", part)
+			}
+			follows.Forget("p")
+			tell(follower, follows, &readTrue)
+			assert.Assert(t, !h.holdings.Known("p"))
+		})
+	}
+}
+
+// Guards against this host's own account being dropped by another host that stops to follow the same place.
+func TestOwnAccountOutlivesAnothers(t *testing.T) {
+	h := newTestHub(t)
+	other := holding.New()
+	other.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1}}})
+	h.mergeHoldings("10.0.0.2", other.Since(0))
+	h.held(holding.Change{Place: "p", Cleared: true}, []FeedEvent{{CacheKey: "k", Part: "x"}})
+	read := other.Since(0).Number
+	other.Forget("p")
+	h.mergeHoldings("10.0.0.2", other.Since(read))
+	h.held(holding.Change{Place: "p"}, []FeedEvent{{CacheKey: "k", Part: "y"}})
+	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "x")))
+	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "y")))
+}
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -92,8 +92,9 @@
 	planner  *upgrade.Planner
 	rounds   int
 	leads    bool
-	own      *holding.Map // cached parts at the places that this host follows
-	holdings *holding.Map // at all places
+	own      *holding.Map                   // cached parts at the places that this host follows
+	holdings *holding.Map                   // at all places
+	mirrors  map[unit.HostName]*holding.Map // what the other control hosts follow
 	owners   map[holding.Place]unit.HostName
 	store    string // address of the table's store
 	storeOf  table.Version
@@ -120,7 +121,8 @@
 	h := &Hub{
 		Dependencies: d, registry: registry.New(), weights: map[unit.ModelName]book.WeightsNumber{},
 		entries: map[unit.HostName]entryState{}, others: map[unit.HostName]otherState{}, planner: upgrade.New(d.LeaseWait),
-		own: holding.New(), holdings: holding.New(), owners: map[holding.Place]unit.HostName{}, feeds: map[feedPlace]context.CancelFunc{},
+		own: holding.New(), holdings: holding.New(), mirrors: map[unit.HostName]*holding.Map{},
+		owners: map[holding.Place]unit.HostName{}, feeds: map[feedPlace]context.CancelFunc{},
 	}
 	h.leaders = leader.New(d.Call, d.Seeds())
 	h.recall = recall.New(d.DataFolder)
--- a/internal/routing/holding/map.go
+++ b/internal/routing/holding/map.go
@@ -180,6 +180,15 @@
 	return places
 }
 
+// Parts returns what a place holds, in no order.
+func (m *Map) Parts(place Place) []Part {
+	parts := make([]Part, 0, len(m.places[place]))
+	for part := range m.places[place] {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
 // Known reports whether the events of a place are followed.
 func (m *Map) Known(place Place) bool {
 	_, ok := m.places[place]
