--- a/internal/agreement/quorum/directed_test.go
+++ b/internal/agreement/quorum/directed_test.go
@@ -324,3 +324,38 @@
 		node.Step(2*fuzzMoment, Input{Tick: true})
 	})
 }
+
+// Guards against hosts that restart with empty disks and form a second group, which would forget what the first accepted.
+func TestHostsThatOnlyJoinFormNoGroup(t *testing.T) {
+	s := &storm{world: newWorld(1, 3)}
+	for _, h := range s.hosts {
+		h.node.cfg.Join = true
+	}
+	s.run(3 * time.Second)
+	assert.Assert(t, s.leading() == nil)
+	for _, h := range s.hosts {
+		assert.Equal(t, h.node.hard.Group, "")
+	}
+}
+
+// Guards against a host that asks to join and is never listed, or that stays listed once it is a member; and against a
+// silent voter that nobody is told of.
+func TestStatusListsWhoWaitsAndWhoIsSilent(t *testing.T) {
+	s, leader := formed(t, 3)
+	newcomer := s.addHost("h4")
+	newcomer.node.cfg.Join = true
+	s.step(newcomer, Input{Peers: []string{leader.name}})
+	s.run(time.Second)
+	assert.DeepEqual(t, leader.node.Status().Candidates, []string{"h4"})
+	s.step(leader, Input{Change: &Change{Add: "h4"}})
+	s.run(2 * time.Second)
+	assert.Equal(t, len(leader.node.Status().Candidates), 0)
+	assert.Equal(t, len(leader.node.Status().Configuration.Voters), 4)
+	silent := s.other(leader, newcomer)
+	s.crash(silent)
+	s.run(SilentAfter / 2)
+	assert.Equal(t, len(leader.node.Status().Silent), 0)
+	s.run(SilentAfter)
+	assert.DeepEqual(t, leader.node.Status().Silent, []string{silent.name})
+	assert.Equal(t, s.failure, "")
+}
--- /dev/null
+++ b/internal/planning/table/table_test.go
@@ -0,0 +1,82 @@
+package table
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/fault"
+)
+
+func valid() *Table {
+	return &Table{
+		Version: 1, Services: []Service{{Name: "a"}, {Name: "b"}, {Name: "keep", Store: &Store{Address: "10.0.0.1:1"}}},
+		Routes: []Route{
+			{Name: "one", Host: "h", Prefix: "/x/", Kind: KindSafe, Timeout: time.Second, Targets: []Target{{"a", 90}, {"b", 10}}},
+			{Name: "two", Host: "h", Prefix: "/x/y/", Kind: KindOnce, Timeout: time.Second, Targets: []Target{{"b", 1}}},
+		},
+		Customers: []Customer{{Name: "c", Keys: []string{"k1", "k2"}}, {Name: "d", Keys: []string{"k3"}}},
+	}
+}
+
+// Guards against a table that can't be served being accepted.
+func TestFaultyTablesAreRefused(t *testing.T) {
+	cases := []struct {
+		name  string
+		spoil func(t *Table)
+	}{
+		{name: "no version", spoil: func(t *Table) { t.Version = 0 }},
+		{name: "unknown service", spoil: func(t *Table) { t.Routes[0].Targets[1].Service = "none" }},
+		{name: "a store as service", spoil: func(t *Table) { t.Routes[0].Targets[1].Service = "keep" }},
+		{name: "same host and prefix", spoil: func(t *Table) { t.Routes[1].Prefix = "/x/" }},
+		{name: "no weight", spoil: func(t *Table) { t.Routes[1].Targets[0].Weight = 0 }},
+		{name: "negative weight", spoil: func(t *Table) { t.Routes[0].Targets[1].Weight = -1 }},
+		{name: "no targets", spoil: func(t *Table) { t.Routes[0].Targets = nil }},
+		{name: "no timeout", spoil: func(t *Table) { t.Routes[0].Timeout = 0 }},
+		{name: "unknown kind", spoil: func(t *Table) { t.Routes[0].Kind = "" }},
+		{name: "no host", spoil: func(t *Table) { t.Routes[0].Host = "" }},
+		{name: "prefix without slashes", spoil: func(t *Table) { t.Routes[0].Prefix = "x" }},
+		{name: "shared key", spoil: func(t *Table) { t.Customers[1].Keys = []string{"k1"} }},
+		{name: "service twice", spoil: func(t *Table) { t.Services[1].Name = "a" }},
+	}
+	assert.NilError(t, valid().Compile())
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			spoiled := valid()
+			c.spoil(spoiled)
+			assert.Assert(t, errorx.IsOfType(spoiled.Compile(), fault.BadInput))
+		})
+	}
+}
+
+// Guards against a request taking the route of a shorter prefix or of another host.
+func TestTheLongestPrefixWins(t *testing.T) {
+	routes := valid()
+	assert.NilError(t, routes.Compile())
+	cases := []struct {
+		host, path, want string
+	}{
+		{"h", "/x/1", "one"}, {"h", "/x/y/1", "two"}, {"h", "/x/yy/1", "one"}, {"h", "/x", ""}, {"other", "/x/1", ""}, {"h", "/X/1", ""},
+	}
+	for _, c := range cases {
+		route, ok := routes.Route(c.host, c.path)
+		assert.Equal(t, ok, c.want != "", c.path)
+		if ok {
+			assert.Equal(t, route.Name, c.want)
+		}
+	}
+}
+
+// Guards against services that get another part of a route's requests than their weight.
+func TestTargetsGetTheirWeight(t *testing.T) {
+	routes := valid()
+	assert.NilError(t, routes.Compile())
+	got := map[ServiceName]int{}
+	for draw := range 100 {
+		got[routes.Routes[0].Pick(float64(draw)/100)]++
+	}
+	assert.DeepEqual(t, got, map[ServiceName]int{"a": 90, "b": 10})
+	assert.Equal(t, routes.Routes[0].Pick(1), ServiceName("b"))
+}
