--- a/Makefile
+++ b/Makefile
@@ -11,15 +11,15 @@
 
 # The scenarios run alone: their hosts share one disk, and syncs that wait for other tests cost them their leaders.
 test: build
-	$(GO) test ./internal/... ./cmd/...
+	$(GO) test ./internal/... ./cmd/... ./platform
 	$(GO) test ./test ./test/clients
 	$(GO) test ./test/scenarios
 
 race:
-	$(GO) test -race ./internal/...
+	$(GO) test -race ./internal/... ./platform
 
 lint:
-	test -z "$$($(TOOLS)/gofumpt -l cmd internal test)"
+	test -z "$$($(TOOLS)/gofumpt -l cmd internal platform test)"
 	$(GO) vet ./...
 	$(TOOLS)/golangci-lint run ./...
 
