--- a/internal/host/hub/feeds_test.go
+++ b/internal/host/hub/feeds_test.go
@@ -8,6 +8,7 @@
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/routing/holding"
 )
 
@@ -74,3 +75,36 @@
 	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "x")))
 	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "y")))
 }
+
+// Guards against a departure that one control host doesn't hear of for seconds because a message was lost.
+func TestWhatWasLostIsSentAgain(t *testing.T) {
+	sender, reader := newTestHub(t), newTestHub(t)
+	reader.Name = "10.0.0.2"
+	seeds := func() []unit.HostName { return []unit.HostName{"10.0.0.1", "10.0.0.2"} }
+	sender.Seeds, reader.Seeds = seeds, seeds
+	sender.Incarnation, reader.Incarnation = 1, 2
+	lost := true
+	sender.Send = func(_ unit.HostName, _ string, payload []byte) {
+		if !lost {
+			assert.NilError(t, reader.hearOther("10.0.0.1", payload))
+		}
+	}
+	reader.Send = func(_ unit.HostName, _ string, payload []byte) {
+		assert.NilError(t, sender.hearOther("10.0.0.2", payload))
+	}
+	exchange := func() {
+		sender.tellOthers(t.Context())
+		reader.tellOthers(t.Context())
+	}
+	lost = false
+	sender.registry.Hear(0, registry.Report{ID: "e", Service: "s", Address: "10.1.0.1:80", Born: 1, Sequence: 1})
+	exchange()
+	sender.registry.Hear(0, registry.Report{ID: "e", Service: "s", Address: "10.1.0.1:80", Born: 1, Sequence: 2, Draining: true})
+	lost = true
+	exchange()
+	lost = false
+	exchange()
+	known, ok := reader.registry.Endpoint("e")
+	assert.Assert(t, ok)
+	assert.Assert(t, known.Draining)
+}
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -163,9 +163,10 @@
 	}
 	h.registry.Merge(now, state.Update)
 	h.mergeHoldings(from, state.Holding)
-	read := state.Holding.Number
+	heard := otherState{at: now, readRegistry: state.Update.Number, read: state.Holding.Number}
 	state.Update, state.Holding = registry.Update{}, holding.Update{}
-	h.others[from] = otherState{State: state, at: now, sent: known.sent, read: read}
+	heard.State = state
+	h.others[from] = heard
 	return nil
 }
 
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -37,18 +37,19 @@
 	groupElection  = 450 * time.Millisecond
 	// stateInterval is the time between two messages to the other control hosts.
 	stateInterval = 100 * time.Millisecond
-	// fullEvery is the number of these messages between two that carry the whole registry.
-	fullEvery = 20
 	// planInterval is the time between two looks at the voters.
 	planInterval = 300 * time.Millisecond
 	// upgradeInterval is the time between two steps of the upgrades.
 	upgradeInterval = 50 * time.Millisecond
 	// forgottenAfter is the silence after which what another host told counts no more.
 	forgottenAfter = 1500 * time.Millisecond
-	// confirmTimeout bounds how long the acknowledgement of a departure waits for other control hosts.
-	confirmTimeout = 500 * time.Millisecond
+	// confirmTimeout bounds how long the acknowledgement of a departure waits for other control hosts, and confirmAttempt
+	// one call to one of them, which may meet a connection that is dead.
+	confirmTimeout, confirmAttempt = 700 * time.Millisecond, 300 * time.Millisecond
 	// saveInterval is the time between two looks at whether there is something to save for the next start.
 	saveInterval = 700 * time.Millisecond
+	// confirmPause is the pause between two of these calls.
+	confirmPause = 20 * time.Millisecond
 	// pruneInterval is the time between two prunings of the registry.
 	pruneInterval = 10 * time.Second
 )
@@ -90,7 +91,6 @@
 	entries  map[unit.HostName]entryState
 	others   map[unit.HostName]otherState
 	planner  *upgrade.Planner
-	rounds   int
 	leads    bool
 	own      *holding.Map                   // cached parts at the places that this host follows
 	holdings *holding.Map                   // at all places
@@ -111,9 +111,9 @@
 // otherState is what another control host told last.
 type otherState struct {
 	State
-	at   unit.Moment
-	sent uint64 // number of the registry's last change that was sent there
-	read uint64 // number of its last change of cached parts that was read here
+	at           unit.Moment
+	readRegistry uint64 // number of its last change of endpoints that was read here
+	read         uint64 // number of its last change of cached parts that was read here
 }
 
 // New returns a hub that Run starts.
@@ -352,7 +352,7 @@
 			continue
 		}
 		waiting.Go(func() {
-			if _, err := h.Call(ctx, name, kind.HubConfirm, update); err != nil {
+			if err := h.confirmBy(ctx, name, update); err != nil {
 				h.Log.Warn("departure-not-confirmed", "endpoint", string(id), "by", string(name), "cause", err.Error())
 			}
 		})
@@ -360,6 +360,18 @@
 	waiting.Wait()
 }
 
+// confirmBy repeats the call to one control host until it answers or ctx ends.
+func (h *Hub) confirmBy(ctx context.Context, name unit.HostName, update []byte) error {
+	for {
+		attempt, cancel := context.WithTimeout(ctx, confirmAttempt)
+		_, err := h.Call(attempt, name, kind.HubConfirm, update)
+		cancel()
+		if err == nil || !timer.Sleep(ctx, confirmPause) {
+			return err
+		}
+	}
+}
+
 // controlHosts returns all known control hosts, sorted: seeds, members of the group and those that were heard lately.
 func (h *Hub) controlHosts() []unit.HostName {
 	known := map[unit.HostName]bool{h.Name: true}
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -26,7 +26,6 @@
 	h.announce(control)
 	now := h.Timer.Now()
 	h.mu.Lock()
-	h.rounds++
 	loads := Loads{}
 	for _, entry := range h.entries {
 		if now.Sub(entry.at) < forgottenAfter {
@@ -43,19 +42,12 @@
 			continue
 		}
 		other := h.others[name]
-		since := other.sent
-		if h.rounds%fullEvery == 0 {
-			since = 0
-		}
-		state.Update = h.registry.Since(now, since)
-		read := other.Read
+		registryRead, holdingRead := other.ReadRegistry, other.Read
 		if other.ReadEpoch != h.Incarnation {
-			read = 0
+			registryRead, holdingRead = 0, 0
 		}
-		state.Holding = h.own.Since(read)
-		state.ReadEpoch, state.Read = other.Epoch, other.read
-		other.sent = state.Update.Number
-		h.others[name] = other
+		state.Update, state.Holding = h.registry.Since(now, registryRead), h.own.Since(holdingRead)
+		state.ReadEpoch, state.ReadRegistry, state.Read = other.Epoch, other.readRegistry, other.read
 		messages[name] = state
 	}
 	h.mu.Unlock()
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -60,11 +60,13 @@
 	Updating []unit.EndpointID `cbor:"6,keyasint,omitempty"` // told by the leader
 	Control  []unit.HostName   `cbor:"7,keyasint,omitempty"`
 	Upcoming []unit.EndpointID `cbor:"8,keyasint,omitempty"`
-	// Holding is what the reader lacks of the cached parts that this control host follows. ReadEpoch and Read say up to
-	// which change of the reader's own it was read here.
-	Holding   holding.Update   `cbor:"9,keyasint"`
-	ReadEpoch unit.Incarnation `cbor:"10,keyasint,omitempty"`
-	Read      uint64           `cbor:"11,keyasint,omitempty"`
+	// Holding is what the reader lacks of the cached parts that this control host follows.
+	Holding holding.Update `cbor:"9,keyasint"`
+	// ReadEpoch, Read and ReadRegistry say up to which changes of the reader's own this control host has read, so that what
+	// was lost on its way is sent again.
+	ReadEpoch    unit.Incarnation `cbor:"10,keyasint,omitempty"`
+	Read         uint64           `cbor:"11,keyasint,omitempty"`
+	ReadRegistry uint64           `cbor:"12,keyasint,omitempty"`
 }
 
 // Feed is a piece of the events of an engine or store.
