--- a/internal/callers/exchange/exchange_test.go
+++ b/internal/callers/exchange/exchange_test.go
@@ -88,7 +88,7 @@
 		{name: "cut chunks", answer: "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", closes: true, broken: true},
 		{name: "no answer", closes: true, broken: true},
 		{name: "foreign bytes", answer: "\x00\x01\x02 nonsense\r\n\r\n", closes: true, broken: true},
-		{name: "late answer of another request first", answer: strings.Replace(whole, "Id: ID", "Id: other", 1) + whole, body: "ok"},
+		{name: "late answer of another request first", answer: strings.NewReplacer("Id: ID", "Id: other", "ok", "no").Replace(whole) + whole, body: "ok"},
 		{name: "interim answer first", answer: "HTTP/1.1 100 Continue\r\n\r\n" + whole, body: "ok"},
 		{name: "two answers", answer: whole + whole, body: "ok"},
 	}
--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -19,7 +19,7 @@
 const (
 	// dialTimeout bounds a new connection. Data centres of a region are a few milliseconds apart, and a host that is down
 	// doesn't answer at all.
-	dialTimeout = 500 * time.Millisecond
+	dialTimeout = 250 * time.Millisecond
 	// unackedTimeout is how long the kernel waits for a peer to acknowledge data before the connection counts as broken.
 	unackedTimeout = 3 * time.Second
 	// defaultIdle is how long a connection is kept whose endpoint names no limit.
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -28,6 +28,8 @@
 	defaultPatience = 30 * time.Second
 	// leastRetryAfter and mostRetryAfter bound the time to come back that a refusal names.
 	leastRetryAfter, mostRetryAfter = 250 * time.Millisecond, 1500 * time.Millisecond
+	// startTime is how long a host needs to find the control hosts and its table after all hosts have restarted together.
+	startTime = time.Second
 	// patienceShare is the part of a caller's time within which an answer must be expected to begin; the rest covers the
 	// error of the estimate.
 	patienceShare = 0.8
@@ -154,7 +156,7 @@
 func (r *request) prepare() error {
 	r.table = r.h.Table()
 	if r.table == nil {
-		return fault.Stale.New("this host has no routing table yet")
+		return fault.Stale.New("this host has no routing table yet").WithProperty(fault.RetryAfter, startTime)
 	}
 	route, ok := r.table.Route(r.call.Host, r.call.Path)
 	if !ok {
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -131,6 +131,7 @@
 		Version: 1, Services: []table.Service{{Name: "s", MaxConnections: 10}},
 		Routes: []table.Route{
 			route("safe", table.KindSafe, 2, false), route("once", table.KindOnce, 1, false), route("keyed", table.KindOnce, 1, false),
+			route("spread", table.KindOnce, 2, false),
 			route("stream", table.KindStream, 1, false), route("resumable", table.KindStream, 2, true),
 		},
 		Customers: []table.Customer{{Name: "c", Keys: []string{"k"}}},
@@ -197,6 +198,8 @@
 		{name: "safe, first has no mark", path: "/safe/x", first: []string{unmarked, good}, status: 200, body: "done", sends: 2},
 		{name: "once, fails", path: "/once/x", first: []string{failed, good}, status: 500, body: "bad", sends: 1},
 		{name: "once, is cut", path: "/once/x", first: []string{cut, good}, status: 502, sends: 1},
+		{name: "once, fails, though two endpoints are allowed", path: "/spread/x", first: []string{failed, good}, status: 500, body: "bad", sends: 1},
+		{name: "once, is cut, though two endpoints are allowed", path: "/spread/x", first: []string{cut, good}, status: 502, sends: 1},
 		{name: "once, has no mark", path: "/once/x", first: []string{unmarked, good}, status: 502, sends: 1},
 		{name: "once, refused and sent elsewhere", path: "/once/x", first: []string{refused, good}, status: 200, body: "done", sends: 2},
 		{name: "once, another endpoint at the address", path: "/once/x", first: []string{other, good}, status: 200, body: "done", sends: 2},
--- a/internal/host/hub/feeds_test.go
+++ b/internal/host/hub/feeds_test.go
@@ -43,10 +43,10 @@
 				h.mergeHoldings(from, update)
 			}
 			var readTrue, readOther uint64
-			other.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1}}})
-			tell(c.other, other, &readOther)
 			follows.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1, 2}}})
 			tell(follower, follows, &readTrue)
+			other.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1}}})
+			tell(c.other, other, &readOther)
 			other.Forget("p")
 			tell(c.other, other, &readOther)
 			follows.Apply([]holding.Change{{Place: "p", Added: []holding.Part{3}}})
