Count as retries only attempts after one that reached an endpoint; learn one pace for a service

Attempts at replicas that couldn't be reached used them up, though nothing had arrived anywhere, and attempts were given up as silent without a further one to make: half of the failures in the log were 'has used up its further attempts'. One of 84 hosts sends to one of 90 replicas too rarely to learn how slow it is: 260 ms were expected, 1,230 observed. Change: an attempt is counted once an earlier one has arrived; a silent attempt is given up only if another may be made; the pace of a whole service is learned; what this host sends stands for that of 8 others at the most.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -46,6 +46,7 @@
 		return r.unanswered(ctx, attemptContext, choice, flight, err)
 	}
 	defer answer.Close()
+	r.arrived = true
 	if r.h.Wire.NotRun(answer.Status, answer.Header) {
 		return r.notRun(choice, flight, answer)
 	}
@@ -84,7 +85,7 @@
 	}
 	r.h.mu.Lock()
 	defer r.h.mu.Unlock()
-	r.h.watched[flight] = cancel
+	r.h.watched[flight] = watchedAttempt{r.service.Name, cancel}
 }
 
 func (r *request) unwatch(flight *assign.Flight) {
@@ -122,6 +123,7 @@
 func (r *request) unanswered(ctx, attempt context.Context, choice assign.Choice, flight *assign.Flight, err error) attemptResult {
 	sent := !errorx.IsOfType(err, fault.Unreachable)
 	if sent {
+		r.arrived = true
 		r.ran++
 	}
 	ending := r.ending(ctx, attempt, sent)
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -63,15 +63,21 @@
 	mu       sync.Mutex
 	assigner *assign.Assigner
 	ledger   *allowance.Ledger
-	watched  map[*assign.Flight]context.CancelCauseFunc
+	watched  map[*assign.Flight]watchedAttempt
 	running  int
 }
 
+// watchedAttempt is an attempt that may be given up and made elsewhere.
+type watchedAttempt struct {
+	service table.ServiceName
+	cancel  context.CancelCauseFunc
+}
+
 // New returns a handler that knows no endpoints.
 func New(d Dependencies) *Handler {
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: allowance.New(d.Allowance),
-		watched: map[*assign.Flight]context.CancelCauseFunc{},
+		watched: map[*assign.Flight]watchedAttempt{},
 	}
 }
 
@@ -94,10 +100,11 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Now()
-	for flight, cancel := range h.watched {
-		if h.assigner.Silent(now, flight) {
+	for flight, watched := range h.watched {
+		// Without a further attempt to make, waiting on is all that may help the caller.
+		if h.assigner.Silent(now, flight) && h.ledger.Allows(now, watched.service) {
 			delete(h.watched, flight)
-			cancel(errSilent)
+			watched.cancel(errSilent)
 		}
 	}
 }
@@ -117,7 +124,8 @@
 
 	tried     []unit.EndpointID
 	sends     int
-	ran       int // attempts that may have run
+	arrived   bool // an attempt has reached an endpoint, so that a further one is counted
+	ran       int  // attempts that may have run
 	lastID    string
 	headSent  bool
 	firstByte unit.Moment
@@ -248,7 +256,7 @@
 	}
 	if r.sends == 0 {
 		h.ledger.Request(now, r.service.Name)
-	} else if !h.ledger.Take(now, r.service.Name) {
+	} else if r.arrived && !h.ledger.Take(now, r.service.Name) {
 		return choice, nil, fault.Overloaded.New("service %s has used up its further attempts", r.service.Name)
 	}
 	r.sends++
--- a/internal/routing/allowance/allowance.go
+++ b/internal/routing/allowance/allowance.go
@@ -53,8 +53,8 @@
 	c.requests[c.bucket%buckets]++
 }
 
-// Take counts a further attempt, or returns false when it would exceed the allowance.
-func (l *Ledger) Take(now unit.Moment, service table.ServiceName) bool {
+// Allows reports whether a further attempt would be within the allowance.
+func (l *Ledger) Allows(now unit.Moment, service table.ServiceName) bool {
 	c := l.at(now, service)
 	requests, further := 0, 0
 	for i := range buckets {
@@ -62,9 +62,15 @@
 		further += c.further[i]
 	}
 	allowed := margin * (l.settings.Ratio*float64(requests) + l.settings.Extra/float64(l.hosts))
-	if float64(further+1) > allowed {
+	return float64(further+1) <= allowed
+}
+
+// Take counts a further attempt, or returns false when it would exceed the allowance.
+func (l *Ledger) Take(now unit.Moment, service table.ServiceName) bool {
+	if !l.Allows(now, service) {
 		return false
 	}
+	c := l.at(now, service)
 	c.further[c.bucket%buckets]++
 	return true
 }
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -65,9 +65,10 @@
 	services map[table.ServiceName][]*replica  // by id
 	named    map[unit.ModelName][]namedWeights // in the order of their numbers
 	loadsAt  unit.Moment
-	hosts    int          // entry hosts that share the endpoints
-	store    *table.Store // nil without one
-	holdings *holding.Map // cached parts, as far as events tell
+	paces    map[table.ServiceName]float64 // observed over expected time to the first byte, of all endpoints together
+	hosts    int                           // entry hosts that share the endpoints
+	store    *table.Store                  // nil without one
+	holdings *holding.Map                  // cached parts, as far as events tell
 }
 
 // namedWeights is a version of a model's weights and when this host learned of it.
@@ -91,7 +92,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		named: map[unit.ModelName][]namedWeights{}, hosts: 1, holdings: holding.New(),
+		named: map[unit.ModelName][]namedWeights{}, paces: map[table.ServiceName]float64{}, hosts: 1, holdings: holding.New(),
 	}
 }
 
@@ -224,7 +225,7 @@
 			continue
 		}
 		supply := a.supply(now, r, w, homes, i)
-		expected := r.expected(w, r.load(now, a.hosts), supply.missing, supply.fetching) + r.stalled(now)
+		expected := r.expected(w, a.pace(w.Service), r.load(now, a.hosts), supply.missing, supply.fetching) + r.stalled(now)
 		if !a.mayBegin(now, r, w, expected) {
 			continue
 		}
@@ -313,12 +314,31 @@
 	f.begun = true
 	f.replica.answeredAt = now
 	if f.work.Prompted {
-		f.replica.learnFirstByte(f.expected, now.Sub(f.sentAt))
+		a.learnFirstByte(f, now.Sub(f.sentAt))
 	}
 	f.replica.own = f.replica.own.Sub(Load{Unread: f.load.Unread})
 	f.load.Unread = 0
 }
 
+// pace is how much longer than expected the service's endpoints take to begin an answer. One of many hosts sends to each of
+// many endpoints too rarely to learn it of each.
+func (a *Assigner) pace(service table.ServiceName) float64 {
+	if pace, ok := a.paces[service]; ok {
+		return pace
+	}
+	return 1
+}
+
+func (a *Assigner) learnFirstByte(f *Flight, observed time.Duration) {
+	if f.expected <= 0 {
+		return
+	}
+	ratio := min(max(float64(observed)/float64(f.expected), 1/ratioBound), ratioBound)
+	f.replica.factor = min(max(f.replica.factor*math.Pow(ratio, learnShare), fastest), slowest)
+	service := f.replica.Service
+	a.paces[service] = min(max(a.pace(service)*math.Pow(ratio, paceShare), fastest), slowest)
+}
+
 // Heard notes that the endpoint of the attempt sent something.
 func (a *Assigner) Heard(now unit.Moment, f *Flight) {
 	if f != nil {
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -20,6 +20,8 @@
 	defaultDuration = 150 * time.Millisecond
 	// learnShare is the weight of a new sample in learned times.
 	learnShare = 0.1
+	// paceShare is the weight of a new sample in the pace of a whole service, and ratioBound bounds one sample.
+	paceShare, ratioBound = 0.04, 5.0
 	// slowest and fastest bound the learned factor between expected and observed times.
 	slowest, fastest = 8.0, 0.6
 	// failureMemory is the time constant with which failures are forgotten.
@@ -32,6 +34,9 @@
 	untoldShare = 0.8
 	// leastStall is the silence beyond the expected time from which an endpoint counts as stalled.
 	leastStall = 100 * time.Millisecond
+	// mostUntold bounds the hosts that this is expected of. One of very many hosts sends so little that its own sending says
+	// nothing about the others'.
+	mostUntold = 8
 	// fullPause is how long an endpoint that was full is left out.
 	fullPause = 60 * time.Millisecond
 )
@@ -75,7 +80,8 @@
 // them has probably sent as much there as this host has, because all decide alike on the same view.
 func (r *replica) load(now unit.Moment, hosts int) Load {
 	keep := math.Exp(-float64(now.Sub(r.recentAt)) / float64(loadLag))
-	return r.own.Add(r.others).Add(r.recent.scale(keep * untoldShare * float64(hosts-1)).round())
+	untold := float64(min(hosts-1, mostUntold))
+	return r.own.Add(r.others).Add(r.recent.scale(keep * untoldShare * untold).round())
 }
 
 // sent notes a load that other hosts can't know of yet.
@@ -95,14 +101,14 @@
 }
 
 // expected returns the time until the first byte of an answer.
-func (r *replica) expected(w *Work, l Load, missing unit.Tokens, fetching time.Duration) time.Duration {
+func (r *replica) expected(w *Work, pace float64, l Load, missing unit.Tokens, fetching time.Duration) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
 		// Requests beyond the places wait for one to become free.
 		waiting := max(0, l.Requests+1-slots)
 		return time.Duration(float64(r.mean) * (1 + float64(waiting)/float64(slots)))
 	}
-	ms := r.factor * (float64(firstStep)/float64(time.Millisecond) + float64(l.Unread+missing)/readRate)
+	ms := pace * r.factor * (float64(firstStep)/float64(time.Millisecond) + float64(l.Unread+missing)/readRate)
 	first := time.Duration(ms * float64(time.Millisecond))
 	return first + fetching + r.waitForMemory(w, l) + r.waitForSlot(l)
 }
@@ -184,15 +190,6 @@
 	return r.Weights[model]
 }
 
-// learnFirstByte compares the expected with the observed time to the first byte.
-func (r *replica) learnFirstByte(expected, observed time.Duration) {
-	if expected <= 0 {
-		return
-	}
-	ratio := math.Min(math.Max(float64(observed)/float64(expected), 0.2), 5)
-	r.factor = math.Min(math.Max(r.factor*math.Pow(ratio, learnShare), fastest), slowest)
-}
-
 func (r *replica) learnDuration(took time.Duration) {
 	r.mean += time.Duration(learnShare * float64(took-r.mean))
 }
