Use the quorum's own name of a member's host; remove a dependency that nothing used

Cause: hostOf in package hub stood in package quorum already; forward.Handler had a Stopping that it never asked. Change: both removed.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -53,7 +53,6 @@
 	Connections func(service *table.Service) int
 	Allowance   allowance.Settings
 	Assign      assign.Settings
-	Stopping    func() bool
 }
 
 // Handler serves calls. It is safe for concurrent use.
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -152,7 +152,7 @@
 	h := New(Dependencies{
 		Now: clock.Now, Log: eventlog.Discard(), Wire: testWire, Pool: exchange.New(clock.Now), Table: func() *table.Table { return routes },
 		Connections: func(*table.Service) int { return 10 }, Allowance: limits,
-		Assign: assign.Settings{ReportSilence: time.Hour}, Stopping: func() bool { return false },
+		Assign: assign.Settings{ReportSilence: time.Hour},
 	})
 	var known []registry.Endpoint
 	for i, e := range endpoints {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -81,7 +81,7 @@
 	g.next = int(seedOf(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Wire: d.Wire, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
-		Allowance: d.Allowance, Assign: d.Assign, Stopping: d.Stopping,
+		Allowance: d.Allowance, Assign: d.Assign,
 	})
 	return g
 }
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/fault"
@@ -169,11 +168,3 @@
 	h.others[from] = heard
 	return nil
 }
-
-// hostOf returns the host name of a group member's identity.
-func hostOf(identity string) string {
-	if at := strings.LastIndexByte(identity, '/'); at >= 0 {
-		return identity[:at]
-	}
-	return identity
-}
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -13,6 +13,7 @@
 	"github.com/oklog/run"
 
 	"github.com/citronglade/citronglade/internal/agreement/member"
+	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
@@ -382,7 +383,7 @@
 		status := m.Status()
 		for _, names := range [][]string{status.Voters, status.Learners, status.Candidates} {
 			for _, name := range names {
-				known[unit.HostName(hostOf(name))] = true
+				known[unit.HostName(quorum.NodeID(name).Host())] = true
 			}
 		}
 	}
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/upgrade"
@@ -120,7 +121,7 @@
 func hostsOf(identities []string) []string {
 	hosts := make([]string, 0, len(identities))
 	for _, identity := range identities {
-		hosts = append(hosts, hostOf(identity))
+		hosts = append(hosts, quorum.NodeID(identity).Host())
 	}
 	return hosts
 }
