Count requests of the platform's path by the product's meter

Cause: package forward counted by route and customer on its own, without the bound on customers that package meter has. Change: one meter for both paths; the priority of a request is found in one place.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -7,10 +7,10 @@
 	"net/http"
 	"strconv"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
@@ -95,17 +95,13 @@
 }
 
 func (r *request) outgoing(choice assign.Choice) exchange.Request {
-	priority := r.route.Priority
 	order := Order{
 		Request: r.call.ID, Endpoint: choice.Endpoint, Left: r.deadline.Sub(r.h.Now()), Prompted: r.work.Prompted, ResumeAfter: r.lastID,
 	}
 	if r.customer != nil {
 		order.Customer = r.customer.Name
-		if r.customer.Priority != nil {
-			priority = *r.customer.Priority
-		}
 	}
-	order.Priority = priority
+	order.Priority = r.priority()
 	if r.work.Prompted {
 		order.Weights, order.Source, order.Save = choice.Weights, choice.Source, choice.Save
 		order.CacheKey = assign.CacheKey(choice.Weights, r.work.Wall)
@@ -209,7 +205,7 @@
 	}
 	r.writeWhole(result)
 	r.log("answered", nil)
-	count(r, "answered")
+	r.measure(unit.OutcomeDone, "")
 	return attemptResult{done: true}
 }
 
@@ -283,7 +279,7 @@
 	}
 	r.end(flight, choice, assign.EndedWell, nil)
 	r.logStream(choice)
-	count(r, "answered")
+	r.measure(unit.OutcomeDone, "")
 	return attemptResult{done: true}
 }
 
@@ -298,8 +294,6 @@
 }
 
 func (r *request) logStream(choice assign.Choice) {
-	metrics.GetOrCreateHistogram(`citronglade_first_byte_seconds{route="` + r.route.Name + `"}`).
-		Update(r.firstByte.Sub(r.call.Arrived).Seconds())
 	r.h.Log.Info("request-ended", "request", string(r.call.ID), "outcome", "answered", "ms", r.h.Now().Sub(r.call.Arrived).Milliseconds(),
 		"first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds(), "expected-ms", choice.Expected.Milliseconds(), "route", r.route.Name,
 		"table-version", uint64(r.table.Version), "endpoint", string(choice.Endpoint), "weights", uint64(choice.Weights),
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -11,13 +11,13 @@
 	"sync"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
+	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/allowance"
 	"github.com/citronglade/citronglade/internal/routing/assign"
@@ -46,6 +46,7 @@
 type Dependencies struct {
 	Now   func() unit.Moment
 	Log   *eventlog.Log
+	Meter *meter.Meter
 	Wire  Wire
 	Pool  *exchange.Pool
 	Table func() *table.Table // nil until the first one has arrived
@@ -278,22 +279,22 @@
 	switch {
 	case r.headSent:
 		r.log("broken", err)
-		count(r, "broken")
+		r.measure(unit.OutcomeUnknown, "broken")
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil && errorx.IsOfType(err, fault.CallerLeft):
 		r.log("caller-left", err)
-		count(r, "caller-left")
+		r.measure(unit.OutcomeUnknown, fault.Name(err))
 	case r.kept != nil:
 		r.writeWhole(r.kept)
 		r.log("failed-by-endpoint", err)
-		count(r, "failed-by-endpoint")
+		r.measure(unit.OutcomeDone, "failed-by-endpoint")
 	case r.ran > 0:
 		status := http.StatusBadGateway
 		if r.h.Now() >= r.deadline {
 			status = http.StatusGatewayTimeout
 		}
 		r.log("failed", err)
-		count(r, "failed")
+		r.measure(unit.OutcomeUnknown, fault.Name(err))
 		r.writeText(status, err)
 	default:
 		r.refuse(err)
@@ -327,7 +328,7 @@
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	r.log("refused", err)
-	count(r, "refused")
+	r.measure(unit.OutcomeNotRun, fault.Name(err))
 	r.writeText(status, err)
 }
 
@@ -363,16 +364,31 @@
 	r.h.Log.Info("request-ended", attributes...)
 }
 
-// count adds the request to the counters and latency histograms.
-func count(r *request, outcome string) {
-	route, customer := "none", "none"
+// measure adds the request to the counters and latency histograms.
+func (r *request) measure(outcome unit.Outcome, code string) {
+	sample := meter.Sample{
+		Class: "none", Target: "none", Outcome: outcome, Code: code, Total: r.h.Now().Sub(r.call.Arrived), Attempts: r.sends,
+		PromptTokens: r.work.Prompt,
+	}
 	if r.route != nil {
-		route = r.route.Name
+		sample.Class = unit.ClassName("priority-" + strconv.Itoa(r.priority()))
+	}
+	if r.service != nil {
+		sample.Target = string(r.service.Name)
 	}
 	if r.customer != nil {
-		customer = string(r.customer.Name)
+		sample.Customer = r.customer.Name
+	}
+	if r.headSent {
+		sample.FirstToken = r.firstByte.Sub(r.call.Arrived)
+	}
+	r.h.Meter.Observe(sample)
+}
+
+// priority is the urgency of the request; a customer's own goes before the route's.
+func (r *request) priority() int {
+	if r.customer != nil && r.customer.Priority != nil {
+		return *r.customer.Priority
 	}
-	metrics.GetOrCreateCounter(`citronglade_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
-	metrics.GetOrCreateHistogram(`citronglade_request_seconds{customer="` + customer + `",outcome="` + outcome + `"}`).
-		Update(r.h.Now().Sub(r.call.Arrived).Seconds())
+	return r.route.Priority
 }
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"gotest.tools/v3/assert"
 
 	"github.com/citronglade/citronglade/internal/base/eventlog"
@@ -20,6 +21,7 @@
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
+	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/control/book"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
@@ -150,7 +152,7 @@
 	clock := timer.New()
 	routes := testTable(t)
 	h := New(Dependencies{
-		Now: clock.Now, Log: eventlog.Discard(), Wire: testWire, Pool: exchange.New(clock.Now), Table: func() *table.Table { return routes },
+		Now: clock.Now, Log: eventlog.Discard(), Meter: meter.New(metrics.NewSet(), 10), Wire: testWire, Pool: exchange.New(clock.Now), Table: func() *table.Table { return routes },
 		Connections: func(*table.Service) int { return 10 }, Allowance: limits,
 		Assign: assign.Settings{ReportSilence: time.Hour},
 	})
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 
 	"github.com/citronglade/citronglade/internal/base/codec"
@@ -17,6 +18,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/callers/forward"
+	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/control/leader"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/host/hub"
@@ -37,6 +39,8 @@
 	sweepInterval = 50 * time.Millisecond
 	// pruneInterval is the time between two prunings of idle connections.
 	pruneInterval = time.Second
+	// meteredCustomers is the number of customers with histograms of their own.
+	meteredCustomers = 200
 	// connectionShare is the part of an endpoint's connections that all entry hosts together use.
 	connectionShare = 0.9
 )
@@ -80,7 +84,7 @@
 	g := &Gateway{Dependencies: d, registry: registry.New(), pool: exchange.New(d.Timer.Now)}
 	g.next = int(seedOf(d.Name))
 	g.handler = forward.New(forward.Dependencies{
-		Now: d.Timer.Now, Log: d.Log, Wire: d.Wire, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
+		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.Wire, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
 		Allowance: d.Allowance, Assign: d.Assign,
 	})
 	return g
