Name the costs of a choice; give logs of control hosts a key of their own

Cause: two figures in the value of a choice had no name, a comment described another result, and three log events carried the key host twice. Change: named constants, the comment, the key control-host. Measured: go test of host and forward passes; no decision is changed.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -192,7 +192,7 @@
 	}
 	if g.inTouch {
 		g.inTouch = false
-		g.Log.Warn("control-host-lost", "host", string(name), "cause", cause)
+		g.Log.Warn("control-host-lost", "control-host", string(name), "cause", cause)
 	}
 }
 
@@ -204,7 +204,7 @@
 	g.mu.Lock()
 	if !g.inTouch && answer.Age <= staleAfter {
 		g.inTouch = true
-		g.Log.Info("control-host-found", "host", string(name), "epoch", uint64(answer.Epoch))
+		g.Log.Info("control-host-found", "control-host", string(name), "epoch", uint64(answer.Epoch))
 	}
 	if len(answer.Control) > 0 {
 		g.control = answer.Control
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -158,7 +158,7 @@
 	known := h.others[from]
 	if known.Epoch != state.Epoch {
 		delete(h.mirrors, from)
-		h.Log.Info("control-host-heard", "host", string(from), "epoch", uint64(state.Epoch))
+		h.Log.Info("control-host-heard", "control-host", string(from), "epoch", uint64(state.Epoch))
 	}
 	h.registry.Merge(now, state.Update)
 	h.mergeHoldings(from, state.Holding)
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -27,16 +27,20 @@
 	// againCost is the cost of 1,000 shared tokens that are read again, as a part of a request's worth. Reading a long shared
 	// prompt twice costs the site more than a late answer.
 	againCost = 0.1
-	// waitCost prefers the shorter wait among choices that are all in time.
-	waitCost = 0.05
+	// waitCost prefers the shorter wait among choices that are all in time, up to mostWait objectives.
+	waitCost, mostWait = 0.05, 4.0
+	// rankCost lets equal choices go to the prompt's first home.
+	rankCost = 1e-6
 	// distanceCost is the cost of another data centre.
 	distanceCost = 0.01
 	// silentShare is the chance that an endpoint whose reports have stopped still serves.
 	silentShare = 0.25
 	// oldWeightsShare is the worth of an answer on weights that newer ones have replaced for longer than Settings.WeightsGrace.
 	oldWeightsShare = 0.8
-	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, on top of the expected time.
+	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, or silenceFactor times the
+	// expected time if that is longer.
 	silenceTimeout = 700 * time.Millisecond
+	silenceFactor  = 2
 	// longOutput is the number of tokens from which an answer takes seconds, and upcomingShare the worth of beginning one
 	// where it would hold up the next change of weights.
 	longOutput    = unit.Tokens(24)
@@ -230,7 +234,7 @@
 			continue
 		}
 		choice.Others++
-		value := a.value(now, r, w, expected, supply) - 1e-6*float64(homes.rank(i))
+		value := a.value(now, r, w, expected, supply) - rankCost*float64(homes.rank(i))
 		paused := r.pausedUntil > now || r.updating
 		if paused {
 			choice.Paused++
@@ -276,7 +280,7 @@
 		worth *= upcomingShare
 	}
 	reading := float64(s.missing) / readRate * float64(time.Millisecond)
-	worth -= readCost*reading/objective + waitCost*math.Min(share, 4) + againCost*float64(s.again)/1000
+	worth -= readCost*reading/objective + waitCost*math.Min(share, mostWait) + againCost*float64(s.again)/1000
 	if r.DataCentre != a.settings.DataCentre {
 		worth -= distanceCost
 	}
@@ -382,12 +386,12 @@
 	r.cached.clear()
 }
 
-// Silent returns the flights whose endpoint has sent nothing for so long that it has probably failed: longer than expected,
-// while nothing else came from it either.
+// Silent reports whether the endpoint has sent nothing for so long that it has probably failed: longer than expected, while
+// nothing else came from it either.
 func (a *Assigner) Silent(now unit.Moment, f *Flight) bool {
 	if f == nil || f.begun || f.ended {
 		return false
 	}
 	quiet := now.Sub(max(f.sentAt, f.replica.answeredAt))
-	return quiet > max(silenceTimeout, 2*f.expected)
+	return quiet > max(silenceTimeout, silenceFactor*f.expected)
 }
