Report dropped log lines once the buffer has room

The report of dropped lines was written into the full buffer and, by the length of its time stamp, dropped itself. Change: what waits is written before the report.

--- a/internal/base/eventlog/log.go
+++ b/internal/base/eventlog/log.go
@@ -91,10 +91,16 @@
 	}
 }
 
+// flush writes what waits, then how many lines were dropped: the report needs room in the buffer.
 func (l *Log) flush(out io.Writer) {
+	l.write(out)
 	if n := l.out.dropped.Swap(0); n > 0 {
 		l.Warn("log-lines-dropped", "lines", n)
+		l.write(out)
 	}
+}
+
+func (l *Log) write(out io.Writer) {
 	if lines := l.out.take(); len(lines) > 0 {
 		// There is nowhere to report that the log's own output failed.
 		_, _ = out.Write(lines)
