--- a/cmd/citronglade/main.go
+++ b/cmd/citronglade/main.go
@@ -5,8 +5,9 @@
 	"os"
 
 	"github.com/citronglade/citronglade/internal/command/root"
+	"github.com/citronglade/citronglade/platform"
 )
 
 func main() {
-	os.Exit(root.Run(os.Args, os.Stdout, os.Stderr))
+	os.Exit(root.Run(os.Args, os.Stdout, os.Stderr, platform.NewCommand))
 }
--- a/internal/agreement/member/config.go
+++ b/internal/agreement/member/config.go
@@ -15,6 +15,7 @@
 	Group  uint32
 	Self   string   // this host's name
 	Peers  []string // all voters at first start, self included
+	Join   bool     // never form a group, only join the one that Peers belong to
 	Folder string   // of this group alone
 
 	// Send passes a message to a host and must not block; messages may be lost, repeated and reordered.
@@ -64,7 +65,7 @@
 
 func (c *Config) quorum(self quorum.NodeID) quorum.Config {
 	return quorum.Config{
-		Self: self, Peers: c.Peers, Seed: c.Seed, Heartbeat: c.Heartbeat, Election: c.Election,
+		Self: self, Peers: c.Peers, Join: c.Join, Seed: c.Seed, Heartbeat: c.Heartbeat, Election: c.Election,
 		MaxUncommitted: c.MaxUncommitted,
 	}
 }
--- a/internal/agreement/member/core.go
+++ b/internal/agreement/member/core.go
@@ -43,6 +43,8 @@
 		m.step(quorum.Input{Snapshot: &snapshot}, nil)
 	case saved := <-m.saved:
 		m.step(quorum.Input{Saved: &saved}, nil)
+	case hosts := <-m.peers:
+		m.step(quorum.Input{Peers: hosts}, nil)
 	case <-m.ticks:
 		m.step(quorum.Input{Tick: true}, nil)
 	}
--- a/internal/agreement/member/member.go
+++ b/internal/agreement/member/member.go
@@ -36,6 +36,7 @@
 	inbox     chan *quorum.Message
 	requests  chan *request
 	ticks     chan struct{}
+	peers     chan []string
 	persisted chan diskReport
 	snapshots chan quorum.Snapshot // taken by the state machine
 	saves     chan quorum.Snapshot // to be made durable
@@ -75,6 +76,7 @@
 		inbox:     make(chan *quorum.Message, inboxMessages),
 		requests:  make(chan *request, batchRequests),
 		ticks:     make(chan struct{}, 1),
+		peers:     make(chan []string, 1),
 		persisted: make(chan diskReport, 1),
 		snapshots: make(chan quorum.Snapshot, 1),
 		saves:     make(chan quorum.Snapshot, 1),
@@ -149,6 +151,9 @@
 	LogBytes    int64         // on disk, without snapshots
 	LastSync    time.Duration // how long the last write and sync took
 	Failed      bool          // the disk failed
+	HeardAt     unit.Moment   // when a follower heard its leader, or a leader its quorum
+	Candidates  []string      // hosts that ask to join
+	Silent      []string      // voters that leave a leader's heartbeats unanswered
 }
 
 // Status returns the visible state.
@@ -160,6 +165,7 @@
 		Commit: uint64(s.Commit), Applied: m.applied.Load(), Voters: names(s.Configuration.Voters),
 		Learners: names(s.Configuration.Learners), LogBytes: m.logBytes.Load(),
 		LastSync: time.Duration(m.lastSync.Load()), Failed: s.Failed,
+		HeardAt: s.HeardAt, Candidates: s.Candidates, Silent: s.Silent,
 	}
 }
 
@@ -185,6 +191,14 @@
 	return s.LeaderSince, s.Role == quorum.Leader
 }
 
+// SetPeers replaces the hosts that an unformed member announces itself to.
+func (m *Member) SetPeers(hosts []string) {
+	select {
+	case m.peers <- hosts:
+	default:
+	}
+}
+
 // View runs read while the state machine doesn't change.
 func (m *Member) View(read func()) {
 	m.viewing.RLock()
--- a/internal/agreement/quorum/formation.go
+++ b/internal/agreement/quorum/formation.go
@@ -22,7 +22,7 @@
 // first peer by name forms it, so that no two configurations come about.
 func (n *Node) tickFormation() {
 	f := &n.formation
-	if len(n.cfg.Peers) > 0 && !f.formed && slices.Min(n.cfg.Peers) == n.cfg.Self.Host() && n.heardEveryPeer() {
+	if !n.cfg.Join && len(n.cfg.Peers) > 0 && !f.formed && slices.Min(n.cfg.Peers) == n.cfg.Self.Host() && n.heardEveryPeer() {
 		n.form()
 		return
 	}
@@ -46,6 +46,19 @@
 	return true
 }
 
+// hostsToJoin returns the hosts that asked to join and aren't members.
+func (n *Node) hostsToJoin() []string {
+	members := n.configuration().members()
+	var hosts []string
+	for host, id := range n.formation.candidates {
+		if !slices.Contains(members, id) {
+			hosts = append(hosts, host)
+		}
+	}
+	slices.Sort(hosts)
+	return hosts
+}
+
 func (n *Node) form() {
 	c := Configuration{Voters: []NodeID{n.cfg.Self}}
 	for _, host := range n.cfg.Peers {
--- a/internal/agreement/quorum/leader.go
+++ b/internal/agreement/quorum/leader.go
@@ -2,10 +2,14 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
+// SilentAfter is how long a voter may leave heartbeats unanswered before Status lists it as silent.
+const SilentAfter = 7 * time.Second
+
 // leading is the state that a node has only while it leads.
 type leading struct {
 	termStart  Index // the empty entry of this term
@@ -39,6 +43,7 @@
 	inFlight int
 	moved    unit.Moment // the last sign that appends arrive
 	acked    uint64      // the newest acknowledged heartbeat round
+	ackedAt  unit.Moment // when it was acknowledged, or when this node began to count
 	sending  *sending    // a snapshot in transfer
 }
 
@@ -68,12 +73,26 @@
 	p := n.leading.progress[id]
 	if p == nil {
 		// The newest entry was appended together with the new configuration or leadership, so it is the first one to send.
-		p = &progress{next: max(n.log.last(), n.log.base+1), probing: true, moved: n.now}
+		p = &progress{next: max(n.log.last(), n.log.base+1), probing: true, moved: n.now, ackedAt: n.now}
 		n.leading.progress[id] = p
 	}
 	return p
 }
 
+// silentVoters returns the hosts of voters that haven't answered this leader for SilentAfter.
+func (n *Node) silentVoters() []string {
+	if n.role != Leader {
+		return nil
+	}
+	var hosts []string
+	for _, id := range n.configuration().Voters {
+		if p := n.member(id); p != nil && n.now.Sub(p.ackedAt) > SilentAfter {
+			hosts = append(hosts, id.Host())
+		}
+	}
+	return hosts
+}
+
 func (n *Node) tickLeader() {
 	// Without a working disk or a quorum the node can't commit, and another one may be able to.
 	if n.diskStalled() {
@@ -215,6 +234,7 @@
 		n.onAppendAnswer(m, p)
 	case MessageHeartbeatAnswer:
 		p.acked = max(p.acked, min(m.Round, n.leading.round))
+		p.ackedAt = n.now
 		n.pruneRounds()
 		n.answerReads()
 	case MessageSnapshotAnswer:
--- a/internal/agreement/quorum/node.go
+++ b/internal/agreement/quorum/node.go
@@ -93,6 +93,9 @@
 	if in.Saved != nil {
 		n.onSaved(*in.Saved)
 	}
+	if in.Peers != nil && n.cfg.Join {
+		n.cfg.Peers = in.Peers
+	}
 	if in.Propose != nil || len(in.Batch) > 0 {
 		n.propose(in.Propose, in.Batch)
 	}
@@ -237,5 +240,13 @@
 		LeaderSince: n.leaderSince, LeaseUntil: n.leaseUntil(), Commit: n.log.commit, Last: n.log.last(),
 		Configuration: n.configuration().clone(), Failed: n.failed,
 		HandingOver: n.leading != nil && n.leading.handover != "",
+		HeardAt:     n.lastHeard(), Candidates: n.hostsToJoin(), Silent: n.silentVoters(),
+	}
+}
+
+func (n *Node) lastHeard() unit.Moment {
+	if n.role == Leader {
+		return n.quorumHeardAt()
 	}
+	return n.heardAt
 }
--- a/internal/agreement/quorum/types.go
+++ b/internal/agreement/quorum/types.go
@@ -125,8 +125,9 @@
 	Propose   []byte
 	Batch     [][]byte // further proposals, replicated together
 	Change    *Change
-	Read      uint64 // a nonzero id, answered in Output.Reads
-	Transfer  bool   // hand the leadership to the most advanced other voter
+	Read      uint64   // a nonzero id, answered in Output.Reads
+	Peers     []string // replaces the hosts that an unformed node announces itself to
+	Transfer  bool     // hand the leadership to the most advanced other voter
 	Tick      bool
 }
 
@@ -169,12 +170,16 @@
 	Configuration Configuration
 	HandingOver   bool // a successor is being prepared
 	Failed        bool
+	HeardAt       unit.Moment // when a follower heard its leader, or a leader its quorum
+	Candidates    []string    // hosts that ask to join and aren't members, sorted
+	Silent        []string    // voters that haven't answered this leader for SilentAfter, sorted
 }
 
 // Config holds the fixed settings of a node.
 type Config struct {
 	Self  NodeID
 	Peers []string // host names to form the group with at the first start, self included
+	Join  bool     // never form a group, only join the one that Peers belong to
 	Seed  uint64
 
 	Heartbeat time.Duration // between two heartbeat rounds
--- /dev/null
+++ b/internal/callers/exchange/answer.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/citronglade/citronglade/internal/base/fault"
+)
+
+// Answer is the answer to one request. It must be closed.
+type Answer struct {
+	Status int
+	Header http.Header
+	body   *body
+}
+
+// body is the rest of an answer.
+type body struct {
+	connection *connection
+	pending    *pending
+	response   *http.Response
+	stop       func() bool
+	complete   bool
+	closed     bool
+}
+
+// Read reads the body. It returns io.EOF only after the whole body, and fault.BrokenAnswer when the endpoint broke off.
+func (a *Answer) Read(b []byte) (int, error) {
+	n, err := a.body.response.Body.Read(b)
+	switch err {
+	case nil:
+	case io.EOF:
+		a.body.complete = true
+	default:
+		err = fault.BrokenAnswer.Wrap(err, "the answer of %s broke off", a.body.connection.at.endpoint)
+	}
+	return n, err
+}
+
+// All reads the whole body up to a bound. It fails with fault.BrokenAnswer.
+func (a *Answer) All(most int64) ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(a, most+1))
+	if err == nil && int64(len(data)) > most {
+		err = fault.BrokenAnswer.New("the answer of %s has more than %d bytes", a.body.connection.at.endpoint, most)
+	}
+	return data, err
+}
+
+// Close ends the exchange. A connection whose answer wasn't read to its end is closed, which cancels the endpoint's work.
+func (a *Answer) Close() {
+	b := a.body
+	if b.closed {
+		return
+	}
+	b.closed = true
+	stopped := b.stop()
+	reusable := stopped && b.complete && !b.response.Close && b.wholeRequestSent() && b.connection.reader.Buffered() == 0
+	if b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0 && b.response.StatusCode != http.StatusNoContent {
+		reusable = false // the body ended with the connection
+	}
+	b.pending.read <- reusable
+}
+
+// wholeRequestSent reports whether the request was sent to its end. An endpoint that answers early still expects the rest.
+func (b *body) wholeRequestSent() bool {
+	select {
+	case err := <-b.pending.written:
+		return err == nil
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/callers/forward/handler.go
@@ -0,0 +1,369 @@
+// Package forward takes a request on its way: route, customer, endpoint, attempts, answer. What it tells a caller about a
+// request that failed is always true: a status that promises that the request did not run is only sent when no endpoint can
+// have run it.
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/joomcode/errorx"
+
+	"github.com/citronglade/citronglade/internal/base/eventlog"
+	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/exchange"
+	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/allowance"
+	"github.com/citronglade/citronglade/internal/routing/assign"
+)
+
+const (
+	// defaultPatience bounds a request whose caller doesn't say how long it waits.
+	defaultPatience = 30 * time.Second
+	// leastRetryAfter and mostRetryAfter bound the time to come back that a refusal names.
+	leastRetryAfter, mostRetryAfter = 250 * time.Millisecond, 1500 * time.Millisecond
+	// patienceShare is the part of a caller's time within which an answer must be expected to begin; the rest covers the
+	// error of the estimate.
+	patienceShare = 0.8
+	// leastSilence and silenceObjectives bound how long a caller waits for a first event: the larger of leastSilence, so
+	// many objectives and silencePauses of the longest pause of its route.
+	leastSilence      = 2 * time.Second
+	silenceObjectives = 4
+	silencePauses     = 8
+	// maxSends bounds how often one request is sent, refusals of endpoints included.
+	maxSends = 4
+)
+
+// Dependencies are what New needs.
+type Dependencies struct {
+	Now   func() unit.Moment
+	Log   *eventlog.Log
+	Wire  Wire
+	Pool  *exchange.Pool
+	Table func() *table.Table // nil until the first one has arrived
+	// Connections is the number of connections to an endpoint that this host may open.
+	Connections func(service *table.Service) int
+	Allowance   allowance.Settings
+	Assign      assign.Settings
+	Stopping    func() bool
+}
+
+// Handler serves calls. It is safe for concurrent use.
+type Handler struct {
+	Dependencies
+
+	mu       sync.Mutex
+	assigner *assign.Assigner
+	ledger   *allowance.Ledger
+	watched  map[*assign.Flight]context.CancelCauseFunc
+	running  int
+}
+
+// New returns a handler that knows no endpoints.
+func New(d Dependencies) *Handler {
+	return &Handler{
+		Dependencies: d, assigner: assign.New(d.Assign), ledger: allowance.New(d.Allowance),
+		watched: map[*assign.Flight]context.CancelCauseFunc{},
+	}
+}
+
+// With runs use with the routing state, which nothing else uses meanwhile.
+func (h *Handler) With(use func(*assign.Assigner, *allowance.Ledger)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	use(h.assigner, h.ledger)
+}
+
+// Running returns the number of requests in hand.
+func (h *Handler) Running() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.running
+}
+
+// Sweep gives up attempts whose endpoint is silent, so that they are made elsewhere.
+func (h *Handler) Sweep() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.Now()
+	for flight, cancel := range h.watched {
+		if h.assigner.Silent(now, flight) {
+			delete(h.watched, flight)
+			cancel(errSilent)
+		}
+	}
+}
+
+// request is the state of one call on its way.
+type request struct {
+	h        *Handler
+	w        http.ResponseWriter
+	call     *Call
+	table    *table.Table
+	route    *table.Route
+	service  *table.Service
+	customer *table.Customer // nil on public routes
+	work     assign.Work
+	body     []byte
+	deadline unit.Moment
+
+	tried     []unit.EndpointID
+	sends     int
+	ran       int // attempts that may have run
+	lastID    string
+	headSent  bool
+	firstByte unit.Moment
+	// kept is a failure of an endpoint that is passed on if no other attempt does better.
+	kept *wholeAnswer
+}
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Serve answers one call.
+func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+	h.mu.Lock()
+	h.running++
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		h.running--
+		h.mu.Unlock()
+	}()
+	r := &request{h: h, w: w, call: call, lastID: call.ResumeAfter}
+	if err := r.prepare(); err != nil {
+		r.refuse(err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(h.Now()))
+	defer cancel()
+	r.attempts(ctx)
+}
+
+// prepare finds the route and the customer and reads the body.
+func (r *request) prepare() error {
+	r.table = r.h.Table()
+	if r.table == nil {
+		return fault.Stale.New("this host has no routing table yet")
+	}
+	route, ok := r.table.Route(r.call.Host, r.call.Path)
+	if !ok {
+		return fault.NotFound.New("no route for host %q and this path", r.call.Host)
+	}
+	r.route = route
+	if r.table.NeedsKey(route) {
+		r.customer, ok = r.table.CustomerOf(r.call.Key)
+		if !ok {
+			return fault.Unauthenticated.New("unknown key")
+		}
+	}
+	name := route.Pick(rand.Float64())
+	if r.service, ok = r.table.Service(name); !ok {
+		return fault.Internal.New("route %q leads to the unknown service %q", route.Name, name)
+	}
+	patience := r.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	r.deadline = r.call.Arrived.Add(min(patience, route.Timeout))
+	var err error
+	most := r.table.MaxBody
+	if most <= 0 {
+		most = table.DefaultMaxBody
+	}
+	if r.body, err = r.call.Body(most); err != nil {
+		return err
+	}
+	r.work = r.describe()
+	return nil
+}
+
+// describe says what the assigner needs to know.
+func (r *request) describe() assign.Work {
+	w := assign.Work{Service: r.service.Name, Objective: r.route.Objective}
+	if p := r.call.Prompt; p != nil && r.service.Engine != nil {
+		w.Prompted, w.Model, w.Parts, w.Prompt, w.Output = true, p.Model, p.Parts, p.Tokens, p.Output
+		if r.customer != nil && r.customer.Isolated {
+			w.Wall = r.customer.Name
+		}
+	}
+	return w
+}
+
+// patience is how long from now an answer may take to begin and still be of use.
+func (r *request) patience(now unit.Moment) time.Duration {
+	left := time.Duration(float64(r.deadline.Sub(now)) * patienceShare)
+	if r.route.Kind != table.KindStream {
+		return left
+	}
+	silence := max(leastSilence, silenceObjectives*r.route.Objective, silencePauses*r.route.LongestPause)
+	return min(left, time.Duration(float64(silence)*patienceShare)-now.Sub(r.call.Arrived))
+}
+
+// attempts sends the request until an endpoint has answered it or nothing more may be tried.
+func (r *request) attempts(ctx context.Context) {
+	for {
+		choice, flight, err := r.choose()
+		if err != nil {
+			r.fail(ctx, err)
+			return
+		}
+		result := r.attempt(ctx, choice, flight)
+		if result.done {
+			return
+		}
+		if !r.again(ctx, result) {
+			r.fail(ctx, result.err)
+			return
+		}
+	}
+}
+
+// choose assigns an endpoint, or says why the request can't be served.
+func (r *request) choose() (assign.Choice, *assign.Flight, error) {
+	h := r.h
+	now := h.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.work.Patience = r.patience(now)
+	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
+	if !ok {
+		return choice, nil, fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+	}
+	if choice.Expected > r.work.Patience {
+		return choice, nil, fault.Overloaded.New("the answer would begin after %s, the caller waits %s", choice.Expected, r.work.Patience).
+			WithProperty(fault.RetryAfter, choice.Expected/2)
+	}
+	if r.sends == 0 {
+		h.ledger.Request(now, r.service.Name)
+	} else if !h.ledger.Take(now, r.service.Name) {
+		return choice, nil, fault.Overloaded.New("service %s has used up its further attempts", r.service.Name)
+	}
+	r.sends++
+	return choice, h.assigner.Begin(now, &r.work, choice), nil
+}
+
+// again decides whether the request is sent once more.
+func (r *request) again(ctx context.Context, result attemptResult) bool {
+	if ctx.Err() != nil || r.sends >= maxSends {
+		return false
+	}
+	if result.notRun {
+		return true
+	}
+	return r.route.Repeatable() && r.ran < r.route.MaxEndpoints
+}
+
+// fail answers a request that no endpoint has answered.
+func (r *request) fail(ctx context.Context, err error) {
+	switch {
+	case r.headSent:
+		r.log("broken", err)
+		count(r, "broken")
+		panic(http.ErrAbortHandler)
+	case ctx.Err() != nil && errorx.IsOfType(err, fault.CallerLeft):
+		r.log("caller-left", err)
+		count(r, "caller-left")
+	case r.kept != nil:
+		r.writeWhole(r.kept)
+		r.log("failed-by-endpoint", err)
+		count(r, "failed-by-endpoint")
+	case r.ran > 0:
+		status := http.StatusBadGateway
+		if r.h.Now() >= r.deadline {
+			status = http.StatusGatewayTimeout
+		}
+		r.log("failed", err)
+		count(r, "failed")
+		r.writeText(status, err)
+	default:
+		r.refuse(err)
+	}
+}
+
+// refuse answers a request that did not run.
+func (r *request) refuse(err error) {
+	status := http.StatusServiceUnavailable
+	switch {
+	case errorx.IsOfType(err, fault.NotFound):
+		status = http.StatusNotFound
+	case errorx.IsOfType(err, fault.Unauthenticated):
+		status = http.StatusUnauthorized
+	case errorx.IsOfType(err, fault.BadInput):
+		status = http.StatusBadRequest
+	case errorx.IsOfType(err, fault.TooLarge):
+		status = http.StatusRequestEntityTooLarge
+	case errorx.IsOfType(err, fault.CallerLeft):
+		r.log("caller-left", err)
+		return
+	}
+	if status == http.StatusServiceUnavailable {
+		after, ok := fault.RetryAfterOf(err)
+		if !ok {
+			after = leastRetryAfter
+		}
+		// Callers that are refused in the same moment shall not return in the same moment.
+		after = min(max(after, leastRetryAfter), mostRetryAfter)
+		after += time.Duration(rand.Float64() * 0.5 * float64(after))
+		r.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+	}
+	r.log("refused", err)
+	count(r, "refused")
+	r.writeText(status, err)
+}
+
+func (r *request) writeText(status int, err error) {
+	text := fault.Name(err) + "\n"
+	header := r.w.Header()
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	header.Set("Content-Length", strconv.Itoa(len(text)))
+	r.w.WriteHeader(status)
+	_, _ = r.w.Write([]byte(text)) // a caller that has left can't be told anything
+}
+
+// log writes the outcome of a request with what decided it.
+func (r *request) log(outcome string, err error) {
+	attributes := []any{
+		"request", string(r.call.ID), "outcome", outcome, "ms", r.h.Now().Sub(r.call.Arrived).Milliseconds(), "sends", r.sends, "may-have-run", r.ran,
+	}
+	if r.table != nil {
+		attributes = append(attributes, "table-version", uint64(r.table.Version))
+	}
+	if r.route != nil {
+		attributes = append(attributes, "route", r.route.Name)
+	}
+	if r.customer != nil {
+		attributes = append(attributes, "customer", string(r.customer.Name))
+	}
+	if len(r.tried) > 0 {
+		attributes = append(attributes, "endpoints", r.tried)
+	}
+	if err != nil {
+		attributes = append(attributes, "cause", err.Error())
+	}
+	r.h.Log.Info("request-ended", attributes...)
+}
+
+// count adds the request to the counters and latency histograms.
+func count(r *request, outcome string) {
+	route, customer := "none", "none"
+	if r.route != nil {
+		route = r.route.Name
+	}
+	if r.customer != nil {
+		customer = string(r.customer.Name)
+	}
+	metrics.GetOrCreateCounter(`citronglade_requests_total{route="` + route + `",outcome="` + outcome + `"}`).Inc()
+	metrics.GetOrCreateHistogram(`citronglade_request_seconds{customer="` + customer + `",outcome="` + outcome + `"}`).
+		Update(r.h.Now().Sub(r.call.Arrived).Seconds())
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 
 	"github.com/joomcode/errorx"
@@ -41,8 +42,8 @@
 	explain.New, emulate.New, load.New,
 }
 
-// Run runs the command line and returns the exit code.
-func Run(arguments []string, stdout, stderr io.Writer) int {
+// Run runs the command line, with further verbs beside the product's own, and returns the exit code.
+func Run(arguments []string, stdout, stderr io.Writer, further ...func() *cli.Command) int {
 	root := &cli.Command{
 		Name:  "citronglade",
 		Usage: "route language-model traffic with long shared prompts",
@@ -55,7 +56,7 @@
 		OnUsageError:   onUsageError,
 		Action:         showHelp,
 	}
-	for _, verb := range verbs {
+	for _, verb := range slices.Concat(verbs, further) {
 		root.Commands = append(root.Commands, withUsageErrors(verb()))
 	}
 	err := root.Run(context.Background(), arguments)
--- a/internal/control/leader/caller.go
+++ b/internal/control/leader/caller.go
@@ -46,6 +46,16 @@
 	return &Caller{call: call, hosts: hosts, leaders: map[uint32]unit.HostName{}}
 }
 
+// SetHosts replaces the control hosts. An empty list changes nothing.
+func (c *Caller) SetHosts(hosts []unit.HostName) {
+	if len(hosts) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = hosts
+}
+
 // Call sends payload to the group's leader and retries until ctx ends. It returns fault.Unreachable if no attempt ever
 // reached a host, so that the command was certainly not applied, and fault.NoQuorum if it may have been.
 func (c *Caller) Call(ctx context.Context, group uint32, kind string, payload []byte) ([]byte, error) {
--- /dev/null
+++ b/internal/endpoints/registry/registry_test.go
@@ -0,0 +1,121 @@
+package registry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+)
+
+func report(id string, born int64, sequence uint64) Report {
+	return Report{ID: unit.EndpointID(id), Service: "llm", Address: "10.0.0.1:80", Born: born, Sequence: sequence}
+}
+
+func draining(r Report) Report {
+	r.Draining = true
+	return r
+}
+
+func at(r Report, address string) Report {
+	r.Address = address
+	return r
+}
+
+// Guards against a report that was overtaken on its way changing what is known.
+func TestReportsAreOrderedByLifetimeAndSequence(t *testing.T) {
+	cases := []struct {
+		name    string
+		reports []Report
+		leave   int64 // born of a departure after the reports, 0 for none
+		after   []Report
+		present []string
+		drains  bool
+	}{
+		{name: "first report", reports: []Report{report("a", 1, 1)}, present: []string{"a"}},
+		{name: "late ready after draining", reports: []Report{draining(report("a", 1, 3)), report("a", 1, 2)}, present: []string{"a"}, drains: true},
+		{name: "draining overtaken by a later report", reports: []Report{report("a", 1, 3), draining(report("a", 1, 2))}, present: []string{"a"}, drains: true},
+		{name: "new lifetime with small numbers", reports: []Report{draining(report("a", 1, 9)), report("a", 2, 1)}, present: []string{"a"}},
+		{name: "report of an earlier lifetime", reports: []Report{report("a", 2, 1), draining(report("a", 1, 9))}, present: []string{"a"}},
+		{name: "report after leaving", reports: []Report{report("a", 1, 1)}, leave: 1, after: []Report{report("a", 1, 2)}},
+		{name: "new lifetime after leaving", reports: []Report{report("a", 1, 1)}, leave: 1, after: []Report{report("a", 2, 1)}, present: []string{"a"}},
+		{name: "departure of an earlier lifetime", reports: []Report{report("a", 2, 1)}, leave: 1, present: []string{"a"}},
+		{name: "address taken over", reports: []Report{report("a", 1, 1), report("b", 2, 1)}, present: []string{"b"}},
+		{name: "address taken over, heard in reverse", reports: []Report{report("b", 2, 1), report("a", 1, 7)}, present: []string{"b"}},
+		{name: "two addresses", reports: []Report{report("a", 1, 1), at(report("b", 2, 1), "10.0.0.2:80")}, present: []string{"a", "b"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New()
+			for _, heard := range c.reports {
+				r.Hear(0, heard)
+			}
+			if c.leave != 0 {
+				r.Leave(0, "a", c.leave)
+			}
+			for _, heard := range c.after {
+				r.Hear(0, heard)
+			}
+			var present []string
+			drains := false
+			for _, e := range r.Present() {
+				present = append(present, string(e.ID))
+				drains = drains || e.Draining
+			}
+			assert.DeepEqual(t, present, c.present)
+			assert.Equal(t, drains, c.drains)
+		})
+	}
+}
+
+// Guards against hosts that hear the same reports in another order and keep different endpoints.
+func TestMergedRegistriesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := New(), New()
+		for range rapid.IntRange(1, 12).Draw(t, "reports") {
+			id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id")
+			born := rapid.Int64Range(1, 3).Draw(t, "born")
+			heard := at(report(id, born, rapid.Uint64Range(1, 4).Draw(t, "sequence")), "10.0.0."+id+":80")
+			heard.Draining = rapid.Bool().Draw(t, "draining")
+			into := rapid.SampledFrom([]*Registry{first, second}).Draw(t, "host")
+			if rapid.IntRange(0, 5).Draw(t, "leaves") == 0 {
+				into.Leave(0, heard.ID, born)
+			} else {
+				into.Hear(0, heard)
+			}
+		}
+		fromFirst, fromSecond := first.Since(0, 0), second.Since(0, 0)
+		first.Merge(0, fromSecond)
+		second.Merge(0, fromFirst)
+		a, b := first.Present(), second.Present()
+		assert.Equal(t, len(a), len(b))
+		for i := range a {
+			assert.Equal(t, a[i].ID, b[i].ID)
+			assert.Equal(t, a[i].Born, b[i].Born)
+			assert.Equal(t, a[i].Draining, b[i].Draining)
+		}
+	})
+}
+
+// Guards against a reader that misses a change or that gets the whole content with each beat.
+func TestUpdatesCarryWhatChanged(t *testing.T) {
+	source, reader := New(), New()
+	source.Hear(0, report("a", 1, 1))
+	first := source.Since(0, 0)
+	reader.Merge(0, first)
+	assert.Equal(t, len(first.Records), 1)
+	later := unit.Moment(time.Second)
+	source.Hear(later, report("a", 1, 2))
+	beat := source.Since(later, first.Number)
+	assert.Equal(t, len(beat.Records), 0)
+	assert.Equal(t, len(beat.Beats), 1)
+	reader.Merge(later, beat)
+	heard, _ := reader.Endpoint("a")
+	assert.Equal(t, heard.HeardAt, later)
+	source.Hear(later, draining(report("a", 1, 3)))
+	change := source.Since(later, beat.Number)
+	assert.Equal(t, len(change.Records), 1)
+	assert.Assert(t, change.Records[0].Draining)
+}
--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -101,7 +101,7 @@
 	var actors run.Group
 	stop := func(error) { cancel() }
 	for _, loop := range h.loops() {
-		actors.Add(func() error { return h.every(ctx, loop.interval, loop.step) }, stop)
+		actors.Add(func() error { return timer.Every(ctx, h.Timer, loop.interval, loop.step) }, stop)
 	}
 	actors.Add(func() error { return h.shipper.Run(ctx) }, stop)
 	return actors.Run()
@@ -192,26 +192,6 @@
 	return gates
 }
 
-// every calls step at the interval until ctx ends. A step that takes longer than the interval delays the next one.
-func (h *Host) every(ctx context.Context, interval time.Duration, step func(context.Context)) error {
-	ticks := make(chan struct{}, 1)
-	cancel := h.Timer.Subscribe(interval, func(unit.Moment) {
-		select {
-		case ticks <- struct{}{}:
-		default:
-		}
-	})
-	defer cancel()
-	for {
-		step(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticks:
-		}
-	}
-}
-
 func otherHosts(s *settings.Settings) []unit.HostName {
 	seen := map[unit.HostName]bool{s.Name: true}
 	var others []unit.HostName
--- /dev/null
+++ b/internal/host/hub/group.go
@@ -0,0 +1,58 @@
+package hub
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/citronglade/citronglade/internal/agreement/member"
+	"github.com/citronglade/citronglade/internal/base/eventlog"
+	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/timer"
+)
+
+// reopenAfter is the pause before a group whose disk failed is opened again.
+const reopenAfter = 300 * time.Millisecond
+
+// group keeps one member of the control group open. A member whose disk fails ends, and a new one continues from what the
+// disk holds as soon as it works again.
+type group struct {
+	config  func() member.Config
+	machine func() member.StateMachine
+	log     *eventlog.Log
+	current atomic.Pointer[member.Member]
+}
+
+// run opens the member again and again until ctx ends.
+func (g *group) run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		opened, err := member.New(g.config(), g.machine())
+		if err != nil {
+			g.log.Error("log-not-opened", "cause", err.Error())
+			timer.Sleep(ctx, reopenAfter)
+			continue
+		}
+		g.current.Store(opened)
+		err = opened.Run(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		g.current.Store(nil)
+		cause := ""
+		if err != nil {
+			cause = err.Error()
+		}
+		g.log.Error("log-closed", "cause", cause)
+		timer.Sleep(ctx, reopenAfter)
+	}
+	return nil
+}
+
+// member returns the open member. It fails with fault.NotLeader, so that callers ask another host.
+func (g *group) member() (*member.Member, error) {
+	m := g.current.Load()
+	if m == nil {
+		return nil, fault.NotLeader.New("the log of this host isn't open")
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/host/hub/message.go
@@ -0,0 +1,65 @@
+package hub
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/control/upgrade"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/assign"
+)
+
+// Loads is what is in hand at each endpoint.
+type Loads map[unit.EndpointID]assign.Load
+
+// add adds other to l.
+func (l Loads) add(other Loads) {
+	for id, load := range other {
+		l[id] = l[id].Add(load)
+	}
+}
+
+// SyncRequest is what an entry host tells and knows.
+type SyncRequest struct {
+	TableVersion table.Version `cbor:"1,keyasint"`
+	// Epoch and Number say which hub's registry the host has read, and up to which change.
+	Epoch  unit.Incarnation `cbor:"2,keyasint"`
+	Number uint64           `cbor:"3,keyasint"`
+	Load   Loads            `cbor:"4,keyasint,omitempty"`
+}
+
+// SyncAnswer is what a control host answers.
+type SyncAnswer struct {
+	// Age is how long ago this control host was in contact with a majority of the control hosts.
+	Age        time.Duration                         `cbor:"1,keyasint"`
+	Table      []byte                                `cbor:"2,keyasint,omitempty"` // CBOR of a table.Table that is newer than the host's
+	Weights    map[unit.ModelName]book.WeightsNumber `cbor:"3,keyasint,omitempty"`
+	Epoch      unit.Incarnation                      `cbor:"4,keyasint"`
+	Update     registry.Update                       `cbor:"5,keyasint"`
+	Others     Loads                                 `cbor:"6,keyasint,omitempty"` // in hand from other entry hosts
+	Updating   []unit.EndpointID                     `cbor:"7,keyasint,omitempty"`
+	EntryHosts int                                   `cbor:"8,keyasint"`
+	Control    []unit.HostName                       `cbor:"9,keyasint"`
+}
+
+// State is what control hosts tell each other.
+type State struct {
+	Epoch    unit.Incarnation  `cbor:"1,keyasint"`
+	Update   registry.Update   `cbor:"2,keyasint"`
+	Loads    Loads             `cbor:"3,keyasint,omitempty"` // of the entry hosts that ask this control host
+	Entries  int               `cbor:"4,keyasint,omitempty"`
+	Leader   bool              `cbor:"5,keyasint,omitempty"`
+	Updating []unit.EndpointID `cbor:"6,keyasint,omitempty"` // told by the leader
+	Control  []unit.HostName   `cbor:"7,keyasint,omitempty"`
+}
+
+// Engines is the protocol by which replicas take orders.
+type Engines struct {
+	// Status asks a replica for its weights. It returns nil if there is no usable answer.
+	Status func(ctx context.Context, at registry.Endpoint) *upgrade.Status
+	// Order sends an order to a replica.
+	Order func(ctx context.Context, at registry.Endpoint, order upgrade.Order) upgrade.Reply
+}
--- /dev/null
+++ b/internal/host/site/process.go
@@ -0,0 +1,262 @@
+// Package site runs one host of an installation whose hosts find each other: the link between hosts, the entry or the
+// control role, the listeners and the planned stop.
+package site
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/oklog/run"
+
+	"github.com/citronglade/citronglade/internal/base/eventlog"
+	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/timer"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/forward"
+	"github.com/citronglade/citronglade/internal/host/gateway"
+	"github.com/citronglade/citronglade/internal/host/hub"
+	"github.com/citronglade/citronglade/internal/network/identity"
+	"github.com/citronglade/citronglade/internal/network/keys"
+	"github.com/citronglade/citronglade/internal/network/link"
+)
+
+const (
+	// linkIdle closes links into a silent partition. Hosts that are in use hear from each other several times a second.
+	linkIdle = 1500 * time.Millisecond
+	// drainShare is the part of the stop's grace in which a host that isn't ready any more still takes requests, so that
+	// the balancer has noticed before connections are refused.
+	drainShare = 0.3
+	// closeShare is the part of the grace after which requests that are still running are cut.
+	closeShare = 0.94
+	// headerTimeout bounds the time to send a request's header, and idleTimeout the life of an idle connection. The
+	// routing table's limits for well-behaved callers are shorter.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = time.Minute
+	// maxHeaderBytes bounds a request's header.
+	maxHeaderBytes = 64 << 10
+	// memoryShare is the part of the process's memory at which the collector works harder.
+	memoryShare = 0.7
+)
+
+// Protocol is what callers, operators, endpoints and replicas of the installation speak.
+type Protocol struct {
+	Wire forward.Wire
+	// Callers serves callers by a handler.
+	Callers func(h *forward.Handler, stopping func() bool, now func() unit.Moment) http.Handler
+	// Control serves operators and endpoints by a hub.
+	Control func(h *hub.Hub, log *eventlog.Log) http.Handler
+	// Engines speaks with replicas about their weights.
+	Engines func(now func() unit.Moment, holder unit.HostName, log *eventlog.Log) hub.Engines
+	// Ready is the path of the balancer's question.
+	Ready string
+}
+
+// Process is one running host.
+type Process struct {
+	settings Settings
+	log      *eventlog.Log
+	timer    *timer.Service
+	link     *link.Link
+	gateway  *gateway.Gateway // nil without the entry role
+	hub      *hub.Hub         // nil without the control role
+	servers  []*server
+	stopping atomic.Bool
+}
+
+// server is one HTTP server with its socket.
+type server struct {
+	*http.Server
+	socket net.Listener
+	calls  bool // carries the requests of callers
+}
+
+// New binds all sockets. It fails with fault.BadSetting.
+func New(s Settings, protocol Protocol) (*Process, error) {
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+	authority, err := keys.Open(s.KeysFolder)
+	if err != nil {
+		return nil, fault.BadSetting.Wrap(err, "cannot open the authority of the hosts' certificates")
+	}
+	own, err := identity.Issue(authority, string(s.Name))
+	if err != nil {
+		return nil, err
+	}
+	p := &Process{settings: s, log: eventlog.New("host", s.Label), timer: timer.New()}
+	p.link, err = link.New(link.Options{
+		Name: s.Name, Listen: p.linkAddress(s.Name), Identity: own, Handler: p.handle, IdleTimeout: linkIdle,
+		Resolve: func(name unit.HostName) (string, bool) { return p.linkAddress(name), net.ParseIP(string(name)) != nil },
+	})
+	if err != nil {
+		return nil, err
+	}
+	return p, p.openRoles(protocol)
+}
+
+func (p *Process) linkAddress(name unit.HostName) string {
+	return net.JoinHostPort(string(name), strconv.Itoa(p.settings.LinkPort))
+}
+
+func (p *Process) openRoles(protocol Protocol) error {
+	s := p.settings
+	if s.Callers != "" {
+		p.gateway = gateway.New(gateway.Dependencies{
+			Name: s.Name, Seeds: s.Seeds.Names, Timer: p.timer, Log: p.log, Call: p.link.Call, Wire: protocol.Wire,
+			Allowance: s.Allowance, Assign: s.Assign, Stopping: p.stopping.Load,
+		})
+		if err := p.listen(s.Callers, protocol.Callers(p.gateway.Handler(), p.stopping.Load, p.timer.Now), true); err != nil {
+			return err
+		}
+		if err := p.listen(s.Ready, p.readiness(protocol.Ready), false); err != nil {
+			return err
+		}
+	}
+	if s.Control != "" {
+		p.hub = hub.New(hub.Dependencies{
+			Name: s.Name, Incarnation: unit.Incarnation(time.Now().UnixNano()), DataFolder: s.DataFolder, Seeds: s.Seeds.Names,
+			Form: s.Form, Voters: s.Voters, Timer: p.timer, Log: p.log, Call: p.link.Call, Send: p.link.Send,
+			Engines: protocol.Engines(p.timer.Now, s.Name, p.log), LeaseWait: s.LeaseWait,
+		})
+		if err := p.listen(s.Control, protocol.Control(p.hub, p.log), false); err != nil {
+			return err
+		}
+	}
+	if s.Metrics == "" {
+		return nil
+	}
+	return p.listen(s.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { metrics.WritePrometheus(w, true) }), false)
+}
+
+func (p *Process) listen(address string, handler http.Handler, calls bool) error {
+	socket, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return fault.BadSetting.Wrap(err, "cannot listen on %s", address)
+	}
+	p.servers = append(p.servers, &server{socket: socket, calls: calls, Server: &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}})
+	return nil
+}
+
+// readiness answers the balancer.
+func (p *Process) readiness(path string) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
+		if !p.gateway.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// handle passes a message of another host to the control role.
+func (p *Process) handle(ctx context.Context, from unit.HostName, name string, payload []byte) ([]byte, error) {
+	if p.hub == nil {
+		return nil, fault.NotFound.New("an entry host doesn't answer %q", name)
+	}
+	return p.hub.Handle(ctx, from, name, payload)
+}
+
+// Run serves until ctx ends, then stops without cutting a request.
+func (p *Process) Run(ctx context.Context) error {
+	var actors run.Group
+	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWork()
+	logContext, stopLog := context.WithCancel(context.Background())
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		_ = p.log.Run(logContext, os.Stdout) // never fails
+	}()
+	defer func() {
+		stopLog()
+		<-logged
+	}()
+	p.add(&actors, work, "link", p.link.Run)
+	if p.gateway != nil {
+		p.add(&actors, work, "entry", p.gateway.Run)
+	}
+	if p.hub != nil {
+		p.add(&actors, work, "control", p.hub.Run)
+	}
+	for _, s := range p.servers {
+		actors.Add(func() error { return s.serve(work) }, func(error) { _ = s.Close() })
+	}
+	actors.Add(func() error {
+		select {
+		case <-ctx.Done():
+			p.drain()
+		case <-work.Done():
+		}
+		return nil
+	}, func(error) { stopWork() })
+	p.log.Info("started", "name", string(p.settings.Name), "entry", p.gateway != nil, "control", p.hub != nil, "seeds", p.settings.Seeds.Names(),
+		"form", p.settings.Form, "voters", p.settings.Voters)
+	err := actors.Run()
+	p.log.Info("stopped")
+	return err
+}
+
+// Reloaded notes that the settings were read again.
+func (p *Process) Reloaded() {
+	p.log.Info("reloaded", "seeds", p.settings.Seeds.Names())
+}
+
+func (p *Process) add(actors *run.Group, parent context.Context, name string, part func(context.Context) error) {
+	ctx, cancel := context.WithCancel(parent)
+	actors.Add(func() error {
+		err := part(ctx)
+		if err != nil {
+			p.log.Error("part-failed", "part", name, "cause", err.Error())
+		}
+		return err
+	}, func(error) { cancel() })
+}
+
+func (s *server) serve(work context.Context) error {
+	err := s.Serve(s.socket)
+	if errors.Is(err, http.ErrServerClosed) {
+		// Serve returns as soon as Shutdown is called, while requests are still running.
+		<-work.Done()
+		return nil
+	}
+	return fault.Internal.Wrap(err, "cannot serve")
+}
+
+// drain ends the entry host's work without cutting a request. The balancer is told first; connections stay open for the
+// callers that use them until it has noticed.
+func (p *Process) drain() {
+	began := p.timer.Now()
+	p.stopping.Store(true)
+	grace := p.settings.StopGrace
+	p.log.Info("stopping", "grace-ms", grace.Milliseconds())
+	if p.gateway == nil {
+		return
+	}
+	timer.Sleep(context.Background(), time.Duration(drainShare*float64(grace)))
+	left := time.Duration(closeShare*float64(grace)) - p.timer.Now().Sub(began)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	for _, s := range p.servers {
+		if !s.calls {
+			continue
+		}
+		if err := s.Shutdown(ctx); err != nil {
+			p.log.Warn("requests-cut", "running", p.gateway.Handler().Running(), "cause", err.Error())
+		}
+	}
+}
+
+// ReloadFailed notes that the changed settings can't be used; the former ones stay in force.
+func (p *Process) ReloadFailed(err error) {
+	p.log.Error("reload-failed", "cause", err.Error())
+}
--- a/internal/network/identity/identity.go
+++ b/internal/network/identity/identity.go
@@ -36,6 +36,8 @@
 	modified    [3]time.Time
 	certificate *tls.Certificate
 	roots       *x509.CertPool
+	reset       [sha256.Size]byte // of an identity without files
+	issued      bool              // made in memory, without files
 }
 
 // New loads the certificate of name and the authorities from folder. It fails with fault.BadSetting if a file is missing,
@@ -49,6 +51,25 @@
 	return identity, nil
 }
 
+// Issue makes an identity in memory that the authority signs. Other hosts check its key and name and not its dates, so that
+// a host whose clock is wrong can join.
+func Issue(authority *keys.Authority, name string) (*Identity, error) {
+	certificate, err := authority.Certificate(name, keys.RoleHost)
+	if err != nil {
+		return nil, err
+	}
+	reset, err := authority.Derive("stateless reset of " + name)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(authority.Root())
+	valid := authority.Root().NotBefore.Add(time.Hour)
+	return &Identity{
+		name: name, now: func() time.Time { return valid }, certificate: certificate, roots: roots, reset: reset, issued: true,
+	}, nil
+}
+
 // Server returns a configuration that demands a certificate of a trusted authority from every client.
 func (i *Identity) Server(protocol string) *tls.Config {
 	return &tls.Config{
@@ -98,6 +119,9 @@
 // ResetKey returns a secret that stays the same when the process is restarted. With it a host tells its peers at once that it
 // doesn't know the connections of its former life.
 func (i *Identity) ResetKey() ([sha256.Size]byte, error) {
+	if i.issued {
+		return i.reset, nil
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	raw, err := x509.MarshalPKCS8PrivateKey(i.certificate.PrivateKey)
@@ -132,7 +156,7 @@
 // a half-finished rotation must not take a working host down.
 func (i *Identity) current() (*tls.Certificate, error) {
 	i.mu.Lock()
-	due := i.now().Sub(i.checkedAt) >= reloadInterval
+	due := !i.issued && i.now().Sub(i.checkedAt) >= reloadInterval
 	if due {
 		i.checkedAt = i.now()
 	}
--- a/internal/network/keys/authority.go
+++ b/internal/network/keys/authority.go
@@ -5,6 +5,8 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -109,23 +111,59 @@
 	if err != nil {
 		return err
 	}
+	raw, err := a.sign(name, role, key, now.Add(-clockTolerance), now.Add(lifetime))
+	if err != nil {
+		return err
+	}
+	if err := writeKey(filepath.Join(folder, KeyFile(name)), key); err != nil {
+		return err
+	}
+	return writeFile(filepath.Join(folder, CertificateFile(name)), encode(certificateBlock, raw), 0o644)
+}
+
+func (a *Authority) sign(name string, role Role, key *ecdsa.PrivateKey, from, until time.Time) ([]byte, error) {
 	template := &x509.Certificate{
 		SerialNumber: newSerial(),
 		Subject:      pkix.Name{CommonName: name, OrganizationalUnit: []string{string(role)}},
-		NotBefore:    now.Add(-clockTolerance),
-		NotAfter:     now.Add(lifetime),
+		NotBefore:    from,
+		NotAfter:     until,
 		KeyUsage:     x509.KeyUsageDigitalSignature,
 		ExtKeyUsage:  []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 		DNSNames:     []string{name},
 	}
 	raw, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
 	if err != nil {
-		return fault.Internal.Wrap(err, "cannot sign the certificate of %s", name)
+		return nil, fault.Internal.Wrap(err, "cannot sign the certificate of %s", name)
 	}
-	if err := writeKey(filepath.Join(folder, KeyFile(name)), key); err != nil {
-		return err
+	return raw, nil
+}
+
+// Certificate makes a certificate in memory, for a host whose disk and clock can't be relied on. It is valid for as long as
+// the authority.
+func (a *Authority) Certificate(name string, role Role) (*tls.Certificate, error) {
+	key, err := newKey()
+	if err != nil {
+		return nil, err
 	}
-	return writeFile(filepath.Join(folder, CertificateFile(name)), encode(certificateBlock, raw), 0o644)
+	raw, err := a.sign(name, role, key, a.certificate.NotBefore, a.certificate.NotAfter)
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Certificate{Certificate: [][]byte{raw}, PrivateKey: key}, nil
+}
+
+// Root returns the authority's certificate.
+func (a *Authority) Root() *x509.Certificate {
+	return a.certificate
+}
+
+// Derive returns a secret that every holder of the authority's key can make, different for each purpose.
+func (a *Authority) Derive(purpose string) ([sha256.Size]byte, error) {
+	raw, err := x509.MarshalECPrivateKey(a.key)
+	if err != nil {
+		return [sha256.Size]byte{}, fault.Internal.Wrap(err, "cannot encode the authority's key")
+	}
+	return sha256.Sum256(append([]byte("citronglade "+purpose+" "), raw...)), nil
 }
 
 // CertificateFile is the name of the file with the certificate of name.
--- a/internal/network/kind/kind.go
+++ b/internal/network/kind/kind.go
@@ -27,4 +27,16 @@
 	Gossip = "gossip"
 	// PlacementSnapshot is a call without payload that an entry host makes at its start.
 	PlacementSnapshot = "placement-snapshot"
+	// Sync is a call with a hub.SyncRequest that an entry host makes several times a second.
+	Sync = "sync"
+	// HubState is a one-way message with a hub.State between control hosts.
+	HubState = "hub-state"
+	// HubConfirm is a call with a registry.Update between control hosts.
+	HubConfirm = "hub-confirm"
+	// HubFetch is a call without payload that a control host makes at its start; the answer is a registry.Update.
+	HubFetch = "hub-fetch"
+	// BookCommand is a call with a book.Command for the leader of group 0.
+	BookCommand = "book-command"
+	// BookRead is a call for the leader of group 0; the answer is a book.Page.
+	BookRead = "book-read"
 )
--- a/internal/network/link/link.go
+++ b/internal/network/link/link.go
@@ -47,9 +47,13 @@
 	// Listen is the UDP address to listen on, as IP:port.
 	Listen string
 	// Peers maps the names of other hosts to their IP:port.
-	Peers    map[unit.HostName]string
-	Identity *identity.Identity
-	Handler  Handler
+	Peers map[unit.HostName]string
+	// Resolve finds the IP:port of a host that isn't in Peers. Without it such hosts can't be reached.
+	Resolve func(name unit.HostName) (address string, ok bool)
+	// IdleTimeout closes connections into a silent partition, 5 s by default.
+	IdleTimeout time.Duration
+	Identity    *identity.Identity
+	Handler     Handler
 }
 
 // Link is one process's connections to its peers. It is safe for concurrent use.
@@ -58,7 +62,9 @@
 	transport *quic.Transport
 	listener  *quic.Listener
 
-	peers map[unit.HostName]*peer
+	mu      sync.Mutex
+	peers   map[unit.HostName]*peer
+	running context.Context // of Run, nil before it
 
 	bytesSent     atomic.Uint64
 	bytesReceived atomic.Uint64
@@ -96,18 +102,25 @@
 	// Without this key a restarted host ignores the packets of connections that its peers still hold, and every call on them
 	// fails until they are idle for long enough.
 	resetKey := quic.StatelessResetKey(reset)
+	if options.IdleTimeout == 0 {
+		options.IdleTimeout = idleTimeout
+	}
 	transport := &quic.Transport{Conn: socket, StatelessResetKey: &resetKey}
-	listener, err := transport.Listen(options.Identity.Server(protocolName), quicConfig())
+	listener, err := transport.Listen(options.Identity.Server(protocolName), quicConfig(options.IdleTimeout))
 	if err != nil {
 		return nil, fault.Internal.Wrap(err, "cannot listen on %s", options.Listen)
 	}
 	link := &Link{options: options, transport: transport, listener: listener, peers: map[unit.HostName]*peer{}}
 	for name, address := range options.Peers {
-		link.peers[name] = &peer{name: name, address: address, queue: make(chan envelope, sendQueue)}
+		link.peers[name] = newPeer(name, address)
 	}
 	return link, nil
 }
 
+func newPeer(name unit.HostName, address string) *peer {
+	return &peer{name: name, address: address, queue: make(chan envelope, sendQueue)}
+}
+
 // Address returns the address that the link listens on.
 func (l *Link) Address() string {
 	return l.transport.Conn.LocalAddr().String()
@@ -115,6 +128,8 @@
 
 // Peers returns the names of the known peers.
 func (l *Link) Peers() []unit.HostName {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	names := make([]unit.HostName, 0, len(l.peers))
 	for name := range l.peers {
 		names = append(names, name)
@@ -129,11 +144,12 @@
 
 // Run accepts connections until ctx ends, then closes all of them.
 func (l *Link) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.running = ctx
 	for _, p := range l.peers {
-		for range sendWorkers {
-			go oneWay{link: l, peer: p}.run(ctx)
-		}
+		l.startWorkers(p)
 	}
+	l.mu.Unlock()
 	defer l.close()
 	for {
 		connection, err := l.listener.Accept(ctx)
@@ -147,13 +163,43 @@
 	}
 }
 
+// startWorkers starts what sends the one-way messages of a peer. The lock must be held.
+func (l *Link) startWorkers(p *peer) {
+	if l.running == nil {
+		return
+	}
+	for range sendWorkers {
+		go oneWay{link: l, peer: p}.run(l.running)
+	}
+}
+
+// peer returns the peer of that name and resolves its address at the first use.
+func (l *Link) peer(name unit.HostName) (*peer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if p, ok := l.peers[name]; ok {
+		return p, true
+	}
+	if l.options.Resolve == nil {
+		return nil, false
+	}
+	address, ok := l.options.Resolve(name)
+	if !ok {
+		return nil, false
+	}
+	p := newPeer(name, address)
+	l.peers[name] = p
+	l.startWorkers(p)
+	return p, true
+}
+
 // Call sends one message to the host named to and waits for the answer. Failures of the other side keep their type. A
 // failure before the message was written is fault.Unreachable; a later one without an answer is fault.BrokenAnswer.
 func (l *Link) Call(ctx context.Context, to unit.HostName, kind string, payload []byte) ([]byte, error) {
 	if to == l.options.Name {
 		return l.options.Handler(ctx, to, kind, payload)
 	}
-	p, ok := l.peers[to]
+	p, ok := l.peer(to)
 	if !ok {
 		return nil, fault.NotFound.New("host %q isn't in the settings", to)
 	}
@@ -171,13 +217,18 @@
 		stream.CancelWrite(0)
 	})
 	defer stop()
-	return l.exchange(stream, to, envelope{Kind: kind, Payload: payload})
+	answer, err := l.exchange(stream, to, envelope{Kind: kind, Payload: payload})
+	if err != nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		// The peer may have lost this connection's state; the next call dials again instead of waiting for it to be idle.
+		p.drop(connection)
+	}
+	return answer, err
 }
 
 // Send queues a one-way message for the host named to. It never blocks; the message is lost when the queue is full or the
 // peer can't be reached.
 func (l *Link) Send(to unit.HostName, kind string, payload []byte) {
-	p, ok := l.peers[to]
+	p, ok := l.peer(to)
 	if !ok {
 		return
 	}
@@ -216,7 +267,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	connection, err := l.transport.Dial(ctx, address, l.options.Identity.Client(protocolName, p.name), quicConfig())
+	connection, err := l.transport.Dial(ctx, address, l.options.Identity.Client(protocolName, p.name), quicConfig(l.options.IdleTimeout))
 	if err != nil {
 		return nil, fault.Unreachable.Wrap(err, "cannot connect to %s at %s", p.name, p.address)
 	}
@@ -361,10 +412,10 @@
 	_ = l.transport.Conn.Close()
 }
 
-func quicConfig() *quic.Config {
+func quicConfig(idle time.Duration) *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout:  dialTimeout,
-		MaxIdleTimeout:        idleTimeout,
+		MaxIdleTimeout:        idle,
 		MaxIncomingStreams:    maxStreams,
 		MaxIncomingUniStreams: maxStreams,
 	}
--- /dev/null
+++ b/internal/routing/assign/assigner.go
@@ -0,0 +1,336 @@
+// Package assign decides at which endpoint a request runs. It weighs, for every endpoint of the service, the time until the
+// answer begins, the chance that the endpoint fails, and whether its weights are the newest, and takes the one where the
+// request is worth most. Requests with the same prompt meet at the same endpoints, because ties go to the homes of the
+// prompt by rendezvous hashing.
+package assign
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/planning/table"
+)
+
+const (
+	// lateShare is the part of its worth that a late answer keeps.
+	lateShare = 0.3
+	// comfort is the part of the objective at which an answer is as likely late as in time, seen from an estimate that
+	// leaves out the wire and the hosts; spread is the width of that estimate.
+	comfort, spread = 0.75, 0.12
+	// readCost weighs the prompt tokens that a choice makes an engine read, as part of the objective.
+	readCost = 0.08
+	// waitCost prefers the shorter wait among choices that are all in time.
+	waitCost = 0.05
+	// distanceCost is the cost of another data centre.
+	distanceCost = 0.01
+	// silentShare is the chance that an endpoint whose reports have stopped still serves.
+	silentShare = 0.25
+	// oldWeightsShare is the worth of an answer on weights that newer ones have replaced for longer than Settings.WeightsGrace.
+	oldWeightsShare = 0.8
+	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, on top of the expected time.
+	silenceTimeout = 700 * time.Millisecond
+)
+
+// Settings bound the decisions.
+type Settings struct {
+	DataCentre unit.DataCentre
+	// ReportSilence is how long reports of an endpoint may be missing before it is suspected.
+	ReportSilence time.Duration
+	// WeightsGrace is how long answers on older weights keep their whole worth after newer weights were named.
+	WeightsGrace time.Duration
+	// WeightsLimit is how long after newer weights were named a request may still begin on older ones.
+	WeightsLimit time.Duration
+}
+
+// Assigner holds what one host believes of all endpoints. It is a deterministic state machine, not safe for concurrent use.
+type Assigner struct {
+	settings Settings
+	replicas map[unit.EndpointID]*replica
+	services map[table.ServiceName][]*replica // by id
+	newest   map[unit.ModelName]namedWeights
+	loadsAt  unit.Moment
+}
+
+// namedWeights is the newest version of a model's weights and when this host learned of it.
+type namedWeights struct {
+	number book.WeightsNumber
+	at     unit.Moment
+}
+
+// Flight is a request on its way at an endpoint.
+type Flight struct {
+	replica  *replica
+	work     *Work
+	sentAt   unit.Moment
+	load     Load
+	expected time.Duration
+	begun    bool
+	ended    bool
+}
+
+// New returns an assigner that knows no endpoint.
+func New(settings Settings) *Assigner {
+	return &Assigner{
+		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
+		newest: map[unit.ModelName]namedWeights{},
+	}
+}
+
+// SetEndpoints replaces the endpoints. The function service returns the service of a name, updating whether an endpoint's
+// weights are being changed.
+func (a *Assigner) SetEndpoints(endpoints []registry.Endpoint, service func(table.ServiceName) (*table.Service, bool), updating func(unit.EndpointID) bool) {
+	kept := make(map[unit.EndpointID]*replica, len(endpoints))
+	services := map[table.ServiceName][]*replica{}
+	for _, e := range endpoints {
+		var engine *table.Engine
+		if s, ok := service(e.Service); ok {
+			engine = s.Engine
+		}
+		r, known := a.replicas[e.ID]
+		if !known || r.Born != e.Born {
+			r = newReplica(e, engine)
+		}
+		r.refresh(e, engine, updating(e.ID))
+		kept[e.ID] = r
+		services[e.Service] = append(services[e.Service], r)
+	}
+	a.replicas, a.services = kept, services
+}
+
+func (r *replica) refresh(e registry.Endpoint, engine *table.Engine, updating bool) {
+	for model, number := range e.Weights {
+		if known := r.Weights[model]; known != 0 && number > known {
+			r.cached.clear()
+		}
+	}
+	learned := r.Weights
+	if e.HeardAt > r.heardAt && r.inRow > 0 && r.pausedUntil > e.HeardAt.Add(firstPause) {
+		// A report after the failures shows that the endpoint is there again.
+		r.pausedUntil = e.HeardAt.Add(firstPause)
+	}
+	r.Report, r.heardAt, r.engine, r.updating = e.Report, e.HeardAt, engine, updating
+	if len(learned) > 0 {
+		// An answer may have told of newer weights before the endpoint's report did.
+		merged := map[unit.ModelName]book.WeightsNumber{}
+		for model, number := range e.Weights {
+			merged[model] = max(number, learned[model])
+		}
+		r.Weights = merged
+	}
+}
+
+// SetLoads takes what other hosts have in hand at each endpoint.
+func (a *Assigner) SetLoads(now unit.Moment, others map[unit.EndpointID]Load) {
+	a.loadsAt = now
+	for id, r := range a.replicas {
+		r.others = others[id]
+	}
+}
+
+// Own returns what this host has in hand at each endpoint.
+func (a *Assigner) Own() map[unit.EndpointID]Load {
+	own := map[unit.EndpointID]Load{}
+	for id, r := range a.replicas {
+		if r.own.Requests > 0 {
+			own[id] = r.own
+		}
+	}
+	return own
+}
+
+// SetNewest notes the newest weights of each model.
+func (a *Assigner) SetNewest(now unit.Moment, newest map[unit.ModelName]book.WeightsNumber) {
+	for model, number := range newest {
+		if number > a.newest[model].number {
+			a.newest[model] = namedWeights{number, now}
+		}
+	}
+}
+
+// Serves reports whether any endpoint is known that may take requests.
+func (a *Assigner) Serves() bool {
+	for _, r := range a.replicas {
+		if !r.Draining {
+			return true
+		}
+	}
+	return false
+}
+
+// Choose returns the endpoint at which the request is worth most, or false if the service has no endpoint that may take it.
+// Endpoints in tried are left out.
+func (a *Assigner) Choose(now unit.Moment, w *Work, tried []unit.EndpointID) (Choice, bool) {
+	w.prepare()
+	ranks := a.ranks(w)
+	var best *replica
+	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
+	bestPaused := false
+	for i, r := range a.services[w.Service] {
+		if r.Draining || slices.Contains(tried, r.ID) || !a.mayBegin(now, r, w) {
+			continue
+		}
+		choice.Others++
+		rank := len(ranks)
+		if ranks != nil {
+			rank = ranks[i]
+		}
+		missing := unit.Tokens(0)
+		if w.Prompted {
+			missing = r.missing(w, rank)
+		}
+		expected := r.expected(w, missing)
+		value := a.value(now, r, w, expected, missing) - 1e-6*float64(rank)
+		paused := r.pausedUntil > now || r.updating
+		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
+			continue
+		}
+		best, bestPaused = r, paused
+		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
+		choice.Expected, choice.Missing, choice.Value = expected, missing, value
+	}
+	return choice, best != nil
+}
+
+// mayBegin reports whether the endpoint's weights are new enough for the request to begin there.
+func (a *Assigner) mayBegin(now unit.Moment, r *replica, w *Work) bool {
+	if !w.Prompted {
+		return true
+	}
+	newest := a.newest[w.Model]
+	return r.weights(w.Model) >= newest.number || now.Sub(newest.at) < a.settings.WeightsLimit
+}
+
+// value is the expected part of its worth that the request earns at the endpoint, less the costs of the choice.
+func (a *Assigner) value(now unit.Moment, r *replica, w *Work, expected time.Duration, missing unit.Tokens) float64 {
+	objective := float64(max(w.Objective, time.Millisecond))
+	share := float64(expected) / objective
+	inTime := 1 / (1 + math.Exp((share-comfort)/spread))
+	worth := lateShare + (1-lateShare)*inTime
+	if w.Patience > 0 && expected > w.Patience {
+		worth = 0
+	}
+	worth *= r.reliability(now)
+	if now.Sub(r.heardAt) > a.settings.ReportSilence {
+		worth *= silentShare
+	}
+	if newest := a.newest[w.Model]; w.Prompted && r.weights(w.Model) < newest.number && now.Sub(newest.at) > a.settings.WeightsGrace {
+		worth *= oldWeightsShare
+	}
+	reading := float64(missing) / readRate * float64(time.Millisecond)
+	worth -= readCost*reading/objective + waitCost*math.Min(share, 4)
+	if r.DataCentre != a.settings.DataCentre {
+		worth -= distanceCost
+	}
+	return worth
+}
+
+// ranks returns the rank of each endpoint of the service among the homes of the prompt, nil without a prompt.
+func (a *Assigner) ranks(w *Work) []int {
+	home, ok := w.home()
+	if !ok {
+		return nil
+	}
+	candidates := a.services[w.Service]
+	weights := make([]uint64, len(candidates))
+	order := make([]int, len(candidates))
+	var buffer [8]byte
+	binary.BigEndian.PutUint64(buffer[:], uint64(home))
+	for i, r := range candidates {
+		hash := xxhash.New()
+		_, _ = hash.Write(buffer[:])
+		_, _ = hash.WriteString(string(r.ID))
+		weights[i], order[i] = hash.Sum64(), i
+	}
+	slices.SortFunc(order, func(i, j int) int { return cmp.Compare(weights[j], weights[i]) })
+	ranks := make([]int, len(candidates))
+	for rank, i := range order {
+		ranks[i] = rank
+	}
+	return ranks
+}
+
+// Begin notes that the request is sent to the endpoint. It returns nil if the endpoint is gone.
+func (a *Assigner) Begin(now unit.Moment, w *Work, choice Choice) *Flight {
+	r, ok := a.replicas[choice.Endpoint]
+	if !ok {
+		return nil
+	}
+	f := &Flight{replica: r, work: w, sentAt: now, expected: choice.Expected, load: Load{Requests: 1}}
+	if w.Prompted {
+		f.load.Tokens, f.load.Unread = w.tokens(), choice.Missing
+		if r.engine != nil {
+			r.cached.add(w, r.engine.Memory)
+		}
+	}
+	r.own = r.own.Add(f.load)
+	r.flights[f] = struct{}{}
+	return f
+}
+
+// Began notes the first byte of the answer.
+func (a *Assigner) Began(now unit.Moment, f *Flight) {
+	if f == nil || f.begun || f.ended {
+		return
+	}
+	f.begun = true
+	f.replica.answeredAt = now
+	if f.work.Prompted {
+		f.replica.learnFirstByte(f.expected, now.Sub(f.sentAt))
+	}
+	f.replica.own = f.replica.own.Sub(Load{Unread: f.load.Unread})
+	f.load.Unread = 0
+}
+
+// End notes the end of the attempt.
+func (a *Assigner) End(now unit.Moment, f *Flight, ending Ending) {
+	if f == nil || f.ended {
+		return
+	}
+	f.ended = true
+	r := f.replica
+	delete(r.flights, f)
+	r.own = r.own.Sub(f.load)
+	r.note(now, ending)
+	if ending == EndedWell {
+		r.answeredAt = now
+		r.learnDuration(now.Sub(f.sentAt))
+	}
+	if ending == EndedUnreachable || ending == EndedBroken && !f.begun {
+		// The process behind the address may be a new one with an empty cache.
+		r.cached.clear()
+	}
+}
+
+// LearnWeights notes the weights that an answer named.
+func (a *Assigner) LearnWeights(id unit.EndpointID, model unit.ModelName, number book.WeightsNumber) {
+	r, ok := a.replicas[id]
+	if !ok || number <= r.Weights[model] {
+		return
+	}
+	learned := map[unit.ModelName]book.WeightsNumber{model: number}
+	for other, known := range r.Weights {
+		if other != model {
+			learned[other] = known
+		}
+	}
+	r.Weights = learned
+	r.cached.clear()
+}
+
+// Silent returns the flights whose endpoint has sent nothing for so long that it has probably failed: longer than expected,
+// while nothing else came from it either.
+func (a *Assigner) Silent(now unit.Moment, f *Flight) bool {
+	if f == nil || f.begun || f.ended {
+		return false
+	}
+	quiet := now.Sub(max(f.sentAt, f.replica.answeredAt))
+	return quiet > max(silenceTimeout, 2*f.expected)
+}
--- /dev/null
+++ b/internal/routing/assign/replica.go
@@ -0,0 +1,241 @@
+package assign
+
+import (
+	"container/list"
+	"math"
+	"time"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/planning/table"
+)
+
+const (
+	// readRate is the speed in prompt tokens a millisecond at which an engine reads a prompt, before answers tell better.
+	readRate = 50.0
+	// firstStep is the time of an engine's answer to a request without unread tokens, before answers tell better.
+	firstStep = 25 * time.Millisecond
+	// defaultDuration is the time that a request takes a place at an endpoint, before answers tell better.
+	defaultDuration = 150 * time.Millisecond
+	// learnShare is the weight of a new sample in learned times.
+	learnShare = 0.1
+	// slowest and fastest bound the learned factor between expected and observed times.
+	slowest, fastest = 8.0, 0.6
+	// failureMemory is the time constant with which failures are forgotten.
+	failureMemory = 4 * time.Second
+	// firstPause is how long an endpoint that can't be reached is left out; it doubles with each further failure.
+	firstPause, longestPause = 400 * time.Millisecond, 6 * time.Second
+	// fullPause is how long an endpoint that was full is left out.
+	fullPause = 60 * time.Millisecond
+)
+
+// replica is what this host believes of one endpoint.
+type replica struct {
+	registry.Report
+	heardAt  unit.Moment
+	engine   *table.Engine // nil for a plain service
+	updating bool          // its weights are being changed
+	own      Load          // in hand from this host
+	others   Load          // in hand from other hosts, as they told
+	flights  map[*Flight]struct{}
+
+	cached *partCache
+	factor float64 // observed over expected time to the first byte
+	mean   time.Duration
+
+	failures, attempts float64 // within failureMemory
+	decayedAt          unit.Moment
+	inRow              int
+	pausedUntil        unit.Moment
+	answeredAt         unit.Moment // the last byte from the endpoint
+}
+
+func newReplica(r registry.Endpoint, engine *table.Engine) *replica {
+	memory := unit.Tokens(0)
+	if engine != nil {
+		memory = engine.Memory
+	}
+	return &replica{
+		Report: r.Report, heardAt: r.HeardAt, engine: engine, cached: newPartCache(memory), factor: 1, mean: defaultDuration,
+		flights: map[*Flight]struct{}{},
+	}
+}
+
+func (r *replica) load() Load {
+	return r.own.Add(r.others)
+}
+
+// missing returns the prompt tokens that the endpoint would have to read. A replica that is the home of the prompt is
+// expected to hold the shared parts even if this host never sent them there, because other hosts choose the same home.
+func (r *replica) missing(w *Work, rank int) unit.Tokens {
+	held := r.cached.held(w)
+	if shared := len(w.Parts) - 1; held < shared && shared > 0 {
+		certain := r.unread(w, held)
+		assumed := r.unread(w, shared)
+		return certain - unit.Tokens(float64(certain-assumed)*homeShare(rank))
+	}
+	return r.unread(w, held)
+}
+
+// homeShare is the chance that the endpoint of that rank among a prefix's homes holds it.
+func homeShare(rank int) float64 {
+	switch rank {
+	case 0:
+		return 0.6
+	case 1:
+		return 0.15
+	default:
+		return 0
+	}
+}
+
+func (r *replica) unread(w *Work, held int) unit.Tokens {
+	left := w.Prompt
+	for _, part := range w.Parts[:held] {
+		left -= part.Tokens
+	}
+	return max(left, 0)
+}
+
+// expected returns the time until the first byte of an answer.
+func (r *replica) expected(w *Work, missing unit.Tokens) time.Duration {
+	l := r.load()
+	if r.engine == nil || !w.Prompted {
+		slots := max(r.Slots, 1)
+		// Requests beyond the places wait for one to become free.
+		waiting := max(0, l.Requests+1-slots)
+		return time.Duration(float64(r.mean) * (1 + float64(waiting)/float64(slots)))
+	}
+	ms := r.factor * (float64(firstStep)/float64(time.Millisecond) + float64(l.Unread+missing)/readRate)
+	first := time.Duration(ms * float64(time.Millisecond))
+	return first + r.waitForMemory(w, l) + r.waitForSlot(l)
+}
+
+// waitForMemory is the time until enough of the running requests have ended to make room. Their memory is expected to be
+// given back evenly over the mean time of a request.
+func (r *replica) waitForMemory(w *Work, l Load) time.Duration {
+	short := l.Tokens + w.tokens() - r.engine.Memory
+	if short <= 0 || l.Tokens <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.mean) * float64(short) / float64(l.Tokens))
+}
+
+func (r *replica) waitForSlot(l Load) time.Duration {
+	over := l.Requests + 1 - r.engine.Slots
+	if over <= 0 || r.engine.Slots <= 0 {
+		return 0
+	}
+	return time.Duration(float64(r.mean) * float64(over) / float64(r.engine.Slots))
+}
+
+// reliability is the part of attempts that is expected to succeed.
+func (r *replica) reliability(now unit.Moment) float64 {
+	r.decay(now)
+	return 1 - r.failures/(r.attempts+2)
+}
+
+func (r *replica) decay(now unit.Moment) {
+	keep := math.Exp(-float64(now.Sub(r.decayedAt)) / float64(failureMemory))
+	r.failures *= keep
+	r.attempts *= keep
+	r.decayedAt = now
+}
+
+// note takes the end of an attempt into account.
+func (r *replica) note(now unit.Moment, ending Ending) {
+	switch ending {
+	case EndedByCaller:
+		return
+	case EndedFull:
+		r.pausedUntil = max(r.pausedUntil, now.Add(fullPause))
+		return
+	case EndedElsewhere:
+		return
+	case EndedWell:
+		r.inRow = 0
+		r.decay(now)
+		r.attempts++
+		return
+	}
+	r.decay(now)
+	r.attempts++
+	r.failures++
+	if ending == EndedUnreachable || ending == EndedSilent {
+		r.pausedUntil = now.Add(min(firstPause<<min(r.inRow, 8), longestPause))
+		r.inRow++
+	}
+}
+
+// weights returns the number of the model's weights, 0 if unknown.
+func (r *replica) weights(model unit.ModelName) book.WeightsNumber {
+	return r.Weights[model]
+}
+
+// learnFirstByte compares the expected with the observed time to the first byte.
+func (r *replica) learnFirstByte(expected, observed time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	ratio := math.Min(math.Max(float64(observed)/float64(expected), 0.2), 5)
+	r.factor = math.Min(math.Max(r.factor*math.Pow(ratio, learnShare), fastest), slowest)
+}
+
+func (r *replica) learnDuration(took time.Duration) {
+	r.mean += time.Duration(learnShare * float64(took-r.mean))
+}
+
+// partCache models which prompt parts an engine holds: the most recently used ones that fit its memory.
+type partCache struct {
+	memory unit.Tokens
+	used   unit.Tokens
+	order  *list.List // of cachedPart, the most recently used first
+	parts  map[Prefix]*list.Element
+}
+
+type cachedPart struct {
+	prefix Prefix
+	tokens unit.Tokens
+}
+
+func newPartCache(memory unit.Tokens) *partCache {
+	return &partCache{memory: memory, order: list.New(), parts: map[Prefix]*list.Element{}}
+}
+
+// held returns how many of the prompt's first parts are cached.
+func (c *partCache) held(w *Work) int {
+	for i, prefix := range w.prefixes {
+		if _, ok := c.parts[prefix]; !ok {
+			return i
+		}
+	}
+	return len(w.prefixes)
+}
+
+// add notes that the engine reads the prompt. The parts of a request count as used last part first, so that a shared part
+// outlives what follows it.
+func (c *partCache) add(w *Work, memory unit.Tokens) {
+	c.memory = memory
+	for i := len(w.prefixes) - 1; i >= 0; i-- {
+		if element, ok := c.parts[w.prefixes[i]]; ok {
+			c.order.MoveToFront(element)
+			continue
+		}
+		part := cachedPart{w.prefixes[i], w.Parts[i].Tokens}
+		c.parts[part.prefix] = c.order.PushFront(part)
+		c.used += part.tokens
+	}
+	for c.used > c.memory && c.order.Len() > 0 {
+		last := c.order.Back()
+		part, _ := c.order.Remove(last).(cachedPart)
+		delete(c.parts, part.prefix)
+		c.used -= part.tokens
+	}
+}
+
+func (c *partCache) clear() {
+	c.used = 0
+	c.order.Init()
+	clear(c.parts)
+}
--- /dev/null
+++ b/internal/routing/assign/work.go
@@ -0,0 +1,136 @@
+package assign
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/book"
+	"github.com/citronglade/citronglade/internal/planning/table"
+)
+
+// Part is a named part of a prompt. Requests that begin with the same parts share what an engine has cached of them.
+type Part struct {
+	ID     string
+	Tokens unit.Tokens
+}
+
+// Prefix identifies the parts of a prompt up to one of them, for one model and within one customer's wall.
+type Prefix uint64
+
+// Work is what the assigner needs to know about a request.
+type Work struct {
+	Service   table.ServiceName
+	Prompted  bool
+	Model     unit.ModelName
+	Wall      unit.CustomerID // the customer that shares no cached part with others, empty otherwise
+	Parts     []Part
+	Prompt    unit.Tokens // whole prompt
+	Output    unit.Tokens // most tokens of the answer
+	Objective time.Duration
+	Patience  time.Duration // an answer that begins later is lost
+
+	prefixes []Prefix // by part, filled by prepare
+}
+
+// prepare computes the prefixes of the prompt's parts.
+func (w *Work) prepare() {
+	if w.prefixes != nil || len(w.Parts) == 0 {
+		return
+	}
+	w.prefixes = make([]Prefix, 0, len(w.Parts))
+	hash := xxhash.New()
+	_, _ = hash.WriteString(string(w.Model) + "\x00" + string(w.Wall))
+	var length [8]byte
+	for _, part := range w.Parts {
+		binary.BigEndian.PutUint64(length[:], uint64(len(part.ID)))
+		_, _ = hash.Write(length[:])
+		_, _ = hash.WriteString(part.ID)
+		w.prefixes = append(w.prefixes, Prefix(hash.Sum64()))
+	}
+	if w.Prompt == 0 {
+		for _, part := range w.Parts {
+			w.Prompt += part.Tokens
+		}
+	}
+}
+
+// home is the prefix by which requests are kept together: the longest one that other requests share. The last part of a
+// prompt belongs to the request itself or to its session.
+func (w *Work) home() (Prefix, bool) {
+	switch len(w.prefixes) {
+	case 0:
+		return 0, false
+	case 1:
+		return w.prefixes[0], true
+	default:
+		return w.prefixes[len(w.prefixes)-2], true
+	}
+}
+
+// tokens is the memory that the request takes at an engine.
+func (w *Work) tokens() unit.Tokens {
+	return w.Prompt + w.Output
+}
+
+// Load is what one host, or several together, have in hand at an endpoint.
+type Load struct {
+	Requests int         `cbor:"1,keyasint,omitempty"`
+	Tokens   unit.Tokens `cbor:"2,keyasint,omitempty"` // memory of the requests
+	Unread   unit.Tokens `cbor:"3,keyasint,omitempty"` // prompt tokens that are still to be read
+}
+
+// Add returns the sum of two loads.
+func (l Load) Add(other Load) Load {
+	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread}
+}
+
+// Sub returns the load without other, never below zero.
+func (l Load) Sub(other Load) Load {
+	return Load{
+		Requests: max(0, l.Requests-other.Requests), Tokens: max(0, l.Tokens-other.Tokens), Unread: max(0, l.Unread-other.Unread),
+	}
+}
+
+// Choice is an assigned endpoint and what the decision rested on.
+type Choice struct {
+	Endpoint unit.EndpointID
+	Address  string
+	Weights  book.WeightsNumber // of the request's model, 0 if unknown
+	Expected time.Duration      // until the first byte of the answer
+	Missing  unit.Tokens        // prompt tokens that the endpoint is expected to read
+	Value    float64            // expected part of the request's worth
+	Others   int                // endpoints that were weighed against it
+	LoadAge  time.Duration      // age of what other hosts told of their load
+}
+
+// Ending says how an attempt at an endpoint ended.
+type Ending uint8
+
+const (
+	// EndedWell is an answer of the endpoint, whatever its status, that came whole.
+	EndedWell Ending = iota
+	// EndedFull is an endpoint that had no room or is changing its weights; the request didn't run.
+	EndedFull
+	// EndedElsewhere is an endpoint that isn't the expected one or has other weights; the request didn't run.
+	EndedElsewhere
+	// EndedFailed is an answer that says that the endpoint failed.
+	EndedFailed
+	// EndedBroken is an endpoint that broke off or gave bytes that are no answer.
+	EndedBroken
+	// EndedSilent is an endpoint that didn't answer in time.
+	EndedSilent
+	// EndedUnreachable is an endpoint to which no connection could be made.
+	EndedUnreachable
+	// EndedByCaller is a caller that left.
+	EndedByCaller
+)
+
+var endingNames = [...]string{"well", "full", "elsewhere", "failed", "broken", "silent", "unreachable", "by-caller"}
+
+// String returns the name that logs use.
+func (e Ending) String() string {
+	return endingNames[e]
+}
