Tell unreachable endpoints from busy ones, and let hosts share what they can't reach

Change: an endpoint that couldn't be reached gets one request at a time until it answers, and none while its reports are missing too. While a request waits for longer than expected, a new connection shows whether the endpoint can be reached; two failures in a row give up what waits there. Hosts tell each other with their loads which endpoints they hear and which they can't reach. An engine that others hear is given three times as long. Connections that are all in use no longer count as an unreachable endpoint.

--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -125,7 +125,7 @@
 		if err != nil || !<-p.read {
 			return
 		}
-		c.putBack(response.Header)
+		c.putBack(idleLimit(response.Header))
 	}
 }
 
@@ -162,9 +162,9 @@
 	return nil, fault.BrokenAnswer.New("%s sent %d answers to other requests", c.at.endpoint, maxDiscarded)
 }
 
-// putBack keeps the connection for the next request.
-func (c *connection) putBack(header http.Header) {
-	c.usableUntil = c.pool.now().Add(idleLimit(header))
+// putBack keeps the connection for the next request, for so long at most.
+func (c *connection) putBack(idle time.Duration) {
+	c.usableUntil = c.pool.now().Add(idle)
 	c.mu.Lock()
 	c.waiting, c.claimed = nil, false
 	closed := c.closed
--- a/internal/callers/exchange/exchange_test.go
+++ b/internal/callers/exchange/exchange_test.go
@@ -156,3 +156,32 @@
 	_, _, err = send(t, New(timer.New().Now), address, "1")
 	assert.Assert(t, errorx.IsOfType(err, fault.Unreachable), "%v", err)
 }
+
+// Guards against a check that leaves connections behind, or that takes a busy endpoint for one that can't be reached.
+func TestACheckOpensAConnectionForTheNextRequest(t *testing.T) {
+	address := scriptedEndpoint(t, func(connection, _ int) (string, bool) {
+		return strings.Replace(whole, "ok", fmt.Sprintf("%02d", connection), 1), false
+	})
+	pool := New(timer.New().Now)
+	assert.NilError(t, pool.Check(t.Context(), "e", address, 1))
+	_, body, err := send(t, pool, address, "1")
+	assert.NilError(t, err)
+	assert.Equal(t, body, "00")
+	waitForIdle(pool)
+	for range 2 * leastConnections {
+		assert.NilError(t, pool.Check(t.Context(), "e", address, 1))
+	}
+	assert.Equal(t, pool.endpoints[place{"e", address}].open, leastConnections)
+}
+
+// Guards against an endpoint that can't be reached passing a check.
+func TestACheckFailsWhereNothingListens(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	pool := New(timer.New().Now)
+	err = pool.Check(t.Context(), "e", address, 1)
+	assert.Assert(t, errorx.IsOfType(err, fault.Unreachable), "%v", err)
+	assert.Equal(t, len(pool.endpoints), 0)
+}
--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -24,6 +24,8 @@
 	unackedTimeout = 3 * time.Second
 	// defaultIdle is how long a connection is kept whose endpoint names no limit.
 	defaultIdle = 30 * time.Second
+	// checkedIdle is how long a connection is kept that a check has opened. It has no answer that names a limit.
+	checkedIdle = 2 * time.Second
 	// idleShare is the part of an endpoint's own idle limit after which a connection isn't used again, so that a request
 	// doesn't cross the endpoint's close.
 	idleShare = 0.7
@@ -78,8 +80,8 @@
 	return &Pool{now: now, endpoints: map[place]*shelf{}}
 }
 
-// Send sends a request and waits for the head of its answer. It fails with fault.Unreachable if no byte was sent, and with
-// fault.BrokenAnswer if the endpoint may have run the request. When ctx ends, the connection is closed.
+// Send sends a request and waits for the head of its answer. It fails with fault.Unreachable if there is no connection, with
+// fault.Overloaded if all that may be open are in use (in both cases no byte was sent), and with fault.BrokenAnswer if the endpoint may have run the request. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, r Request) (*Answer, error) {
 	c, err := p.take(ctx, r)
 	if err != nil {
@@ -88,6 +90,28 @@
 	return c.exchange(ctx, r)
 }
 
+// Check opens a connection to an endpoint and keeps it for later requests. It fails with fault.Unreachable after two attempts,
+// and doesn't try where most connections are open.
+func (p *Pool) Check(ctx context.Context, endpoint unit.EndpointID, address string, most int) error {
+	at := place{endpoint, address}
+	if !p.reserve(at, max(most, leastConnections)) {
+		return nil
+	}
+	c, err := p.open(ctx, at)
+	if err != nil {
+		// A lost packet looks like an unreachable host.
+		if !p.reserve(at, max(most, leastConnections)) {
+			return nil
+		}
+		c, err = p.open(ctx, at)
+	}
+	if err != nil {
+		return err
+	}
+	c.putBack(checkedIdle)
+	return nil
+}
+
 // take returns an idle connection or opens one.
 func (p *Pool) take(ctx context.Context, r Request) (*connection, error) {
 	at := place{r.Endpoint, r.Address}
@@ -95,13 +119,18 @@
 		return c, nil
 	}
 	if !p.reserve(at, max(r.MaxConnections, leastConnections)) {
-		return nil, fault.Unreachable.New("all connections to %s are in use", r.Endpoint)
+		return nil, fault.Overloaded.New("all connections to %s are in use", r.Endpoint)
 	}
+	return p.open(ctx, at)
+}
+
+// open makes a connection for which a place is reserved.
+func (p *Pool) open(ctx context.Context, at place) (*connection, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: unackedTimeout, Control: setUserTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", r.Address)
+	socket, err := dialer.DialContext(ctx, "tcp", at.address)
 	if err != nil {
 		p.release(at)
-		return nil, fault.Unreachable.Wrap(err, "cannot connect to %s at %s", r.Endpoint, r.Address)
+		return nil, fault.Unreachable.Wrap(err, "cannot connect to %s at %s", at.endpoint, at.address)
 	}
 	connectionsOpened.Inc()
 	c := newConnection(p, at, socket)
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -117,12 +117,16 @@
 
 // unanswered handles an attempt that ended before the head of an answer.
 func (r *request) unanswered(ctx, attempt context.Context, choice assign.Choice, flight *assign.Flight, err error) attemptResult {
-	sent := !errorx.IsOfType(err, fault.Unreachable)
+	full := errorx.IsOfType(err, fault.Overloaded)
+	sent := !full && !errorx.IsOfType(err, fault.Unreachable)
 	if sent {
 		r.arrived = true
 		r.ran++
 	}
 	ending := r.ending(ctx, attempt, sent)
+	if full {
+		ending = assign.EndedFull
+	}
 	r.end(flight, choice, ending, err)
 	if ctx.Err() != nil && !r.expired() {
 		err = fault.CallerLeft.New("the caller left")
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -95,8 +95,33 @@
 	return h.running
 }
 
-// Sweep gives up attempts whose endpoint is silent, so that they are made elsewhere.
-func (h *Handler) Sweep() {
+// Sweep gives up attempts whose endpoint is silent, so that they are made elsewhere, and checks endpoints that may be
+// unreachable.
+func (h *Handler) Sweep(ctx context.Context) {
+	h.giveUpSilent()
+	var checks []assign.Check
+	h.With(func(a *assign.Assigner, _ *allowance.Ledger) { checks = a.Checks(h.Now()) })
+	for _, c := range checks {
+		go h.check(ctx, c)
+	}
+}
+
+// check finds out whether an endpoint accepts a connection.
+func (h *Handler) check(ctx context.Context, c assign.Check) {
+	most := 0
+	if service, ok := h.Table().Service(c.Service); ok {
+		most = h.Connections(service)
+	}
+	err := h.Pool.Check(ctx, c.Endpoint, c.Address, most)
+	if err == nil {
+		return
+	}
+	h.With(func(a *assign.Assigner, _ *allowance.Ledger) { a.CheckFailed(h.Now(), c.Endpoint) })
+	h.Pool.Forget(c.Endpoint)
+	h.Log.Warn("endpoint-unreachable", "endpoint", string(c.Endpoint), "service", string(c.Service), "cause", err.Error())
+}
+
+func (h *Handler) giveUpSilent() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := h.Now()
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -45,7 +45,8 @@
 
 // standIn is an endpoint whose behaviour a test scripts by raw answers. ID in an answer becomes the request's id.
 type standIn struct {
-	address string
+	address  string
+	listener net.Listener
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -60,7 +61,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &standIn{address: listener.Addr().String(), asked: make(chan struct{}, 10), gone: make(chan struct{}, 10)}
+	s := &standIn{address: listener.Addr().String(), listener: listener, asked: make(chan struct{}, 10), gone: make(chan struct{}, 10)}
 	go func() {
 		for {
 			socket, err := listener.Accept()
@@ -369,8 +370,31 @@
 			h.ledger.Request(now, "s")
 			now = now.Add(10 * time.Second)
 			h.ledger.Request(now, "s")
-			h.Sweep()
+			h.Sweep(t.Context())
 			assert.Equal(t, ctx.Err() != nil, c.givenUp)
 		})
 	}
 }
+
+// Guards against a request that waits for an endpoint to which no connection can be made any more, over one that was kept.
+func TestAnUnreachableEndpointIsGivenUpBeforeItsTime(t *testing.T) {
+	endpoint := newStandIn(t, func() string { return hold })
+	h := newTestHandler(t, endpoint)
+	now := unit.Moment(time.Second)
+	h.Now = func() unit.Moment { return now }
+	w := &assign.Work{Service: "s", Objective: time.Second}
+	choice, ok := h.assigner.Choose(now, w, nil)
+	assert.Assert(t, ok)
+	flight := h.assigner.Begin(now, w, choice)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	h.watched[flight] = watchedAttempt{"s", cancel}
+	assert.NilError(t, endpoint.listener.Close())
+	now = now.Add(300 * time.Millisecond)
+	h.check(t.Context(), assign.Check{Endpoint: choice.Endpoint, Service: "s", Address: choice.Address})
+	h.Sweep(t.Context())
+	assert.NilError(t, ctx.Err(), "one failure may be a lost packet")
+	now = now.Add(100 * time.Millisecond)
+	h.check(t.Context(), assign.Check{Endpoint: choice.Endpoint, Service: "s", Address: choice.Address})
+	h.Sweep(t.Context())
+	assert.Assert(t, ctx.Err() != nil)
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -120,7 +120,7 @@
 		step     func(context.Context)
 	}{
 		{syncInterval, g.sync},
-		{sweepInterval, func(context.Context) { g.handler.Sweep() }},
+		{sweepInterval, g.handler.Sweep},
 		{pruneInterval, func(context.Context) { g.pool.Prune() }},
 	} {
 		actors.Add(func() error { return timer.Every(ctx, g.Timer, loop.interval, loop.step) }, stop)
@@ -161,7 +161,7 @@
 // question returns the control host to ask and what to ask it.
 func (g *Gateway) question() (unit.HostName, hub.SyncRequest) {
 	var request hub.SyncRequest
-	g.handler.With(func(a *assign.Assigner, _ *allowance.Ledger) { request.Load = a.Own() })
+	g.handler.With(func(a *assign.Assigner, _ *allowance.Ledger) { request.Load = a.Own(g.Timer.Now()) })
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
 	}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -38,9 +38,10 @@
 	// oldWeightsShare is the worth of an answer on weights that newer ones have replaced for longer than Settings.WeightsGrace.
 	oldWeightsShare = 0.8
 	// silenceTimeout is how long a request may get no byte before its endpoint is suspected, or silenceFactor times the
-	// expected time if that is longer.
+	// expected time if that is longer. An engine that other hosts hear is busy rather than silent, for busyFactor times as long.
 	silenceTimeout = 700 * time.Millisecond
 	silenceFactor  = 2
+	busyFactor     = 3
 	// longOutput is the number of tokens from which an answer takes seconds, and upcomingShare the worth of beginning one
 	// where it would hold up the next change of weights.
 	longOutput    = unit.Tokens(24)
@@ -169,12 +170,14 @@
 	a.hosts = max(hosts, 1)
 }
 
-// Own returns what this host has in hand at each endpoint.
-func (a *Assigner) Own() map[unit.EndpointID]Load {
+// Own returns what this host has in hand at each endpoint, and whether it hears the endpoint.
+func (a *Assigner) Own(now unit.Moment) map[unit.EndpointID]Load {
 	own := map[unit.EndpointID]Load{}
 	for id, r := range a.replicas {
-		if r.own.Requests > 0 {
-			own[id] = r.own
+		load := r.own
+		load.Heard, load.Unheard = r.witness(now)
+		if load != (Load{}) {
+			own[id] = load
 		}
 	}
 	return own
@@ -235,7 +238,7 @@
 		}
 		choice.Others++
 		value := a.value(now, r, w, expected, supply) - rankCost*float64(homes.rank(i))
-		paused := r.pausedUntil > now || r.updating
+		paused := r.pausedUntil > now || r.updating || a.suspects(now, r)
 		if paused {
 			choice.Paused++
 		}
@@ -392,6 +395,9 @@
 	if f == nil || f.begun || f.ended {
 		return false
 	}
-	quiet := now.Sub(max(f.sentAt, f.replica.answeredAt))
-	return quiet > max(silenceTimeout, silenceFactor*f.expected)
+	limit := max(silenceTimeout, silenceFactor*f.expected)
+	if f.work.Prompted && f.replica.others.Heard > 0 {
+		limit *= busyFactor
+	}
+	return f.quiet(now) > limit || f.replica.failedChecks(f.sentAt)
 }
--- a/internal/routing/assign/replay_test.go
+++ b/internal/routing/assign/replay_test.go
@@ -209,7 +209,7 @@
 		h.assigner.SetHoldings(holding.Update{Changes: events})
 	}
 	for _, h := range r.hosts {
-		h.told = h.assigner.Own()
+		h.told = h.assigner.Own(r.now)
 	}
 }
 
@@ -305,7 +305,7 @@
 }
 
 func byOwnLoad(r *replay, h *modelHost, _ *Work) (*modelEngine, Choice, bool) {
-	own := h.assigner.Own()
+	own := h.assigner.Own(r.now)
 	e := slices.MinFunc(r.engines, func(a, b *modelEngine) int { return own[a.id].Requests - own[b.id].Requests })
 	return e, Choice{Endpoint: e.id}, true
 }
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -62,6 +62,8 @@
 	decayedAt          unit.Moment
 	inRow              int
 	pausedUntil        unit.Moment
+	failedAt           unit.Moment // when the endpoint last couldn't be reached or was silent
+	checkedAt          unit.Moment // when a check began last
 	answeredAt         unit.Moment // the last byte from the endpoint
 }
 
@@ -119,7 +121,7 @@
 	longest := time.Duration(0)
 	for f := range r.flights {
 		if !f.begun {
-			longest = max(longest, now.Sub(max(f.sentAt, r.answeredAt))-f.expected)
+			longest = max(longest, f.quiet(now)-f.expected)
 		}
 	}
 	if longest < leastStall {
@@ -181,6 +183,7 @@
 	r.failures++
 	if ending == EndedUnreachable || ending == EndedSilent {
 		r.pausedUntil = now.Add(min(firstPause<<min(r.inRow, 8), longestPause))
+		r.failedAt = now
 		r.inRow++
 	}
 }
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -111,18 +111,23 @@
 	Tokens   unit.Tokens `cbor:"2,keyasint,omitempty"` // memory of the requests
 	Unread   unit.Tokens `cbor:"3,keyasint,omitempty"` // prompt tokens that are still to be read
 	Long     int         `cbor:"4,keyasint,omitempty"` // requests among them whose answers take long
+	Heard    int         `cbor:"5,keyasint,omitempty"` // hosts to which the endpoint has sent something lately
+	Unheard  int         `cbor:"6,keyasint,omitempty"` // hosts that can't reach the endpoint
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
-	return Load{Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread, Long: l.Long + other.Long}
+	return Load{
+		Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, Unread: l.Unread + other.Unread, Long: l.Long + other.Long,
+		Heard: l.Heard + other.Heard, Unheard: l.Unheard + other.Unheard,
+	}
 }
 
 // Sub returns the load without other, never below zero.
 func (l Load) Sub(other Load) Load {
 	return Load{
 		Requests: max(0, l.Requests-other.Requests), Tokens: max(0, l.Tokens-other.Tokens), Unread: max(0, l.Unread-other.Unread),
-		Long: max(0, l.Long-other.Long),
+		Long: max(0, l.Long-other.Long), Heard: max(0, l.Heard-other.Heard), Unheard: max(0, l.Unheard-other.Unheard),
 	}
 }
 
