Expect cached parts to be dropped as fast as they are seen to be

Cause: where memory binds, an engine drops cached parts within a second or two. Every fetch also puts another copy into a full memory, which cost the choice nothing.

Change: the rate at which each engine and the store drop parts is measured from their events. The chance that a part is still there after the expected wait decides where to fetch it and how much reading is expected; so the store is asked where engines forget, as long as its link has room. A fetched copy has a cost. What each candidate holds is looked up once for a choice and not once for each pair.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -240,7 +240,7 @@
 			return t.Service(name)
 		}, answer.Updating, answer.Upcoming)
 		a.SetLoads(now, answer.Others)
-		a.SetHoldings(answer.Holding)
+		a.SetHoldings(now, answer.Holding)
 		if a.Serves() {
 			g.served.Store(true)
 		}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -27,6 +27,9 @@
 	// againCost is the cost of 1,000 shared tokens that are read again, as a part of a request's worth. Reading a long shared
 	// prompt twice costs the site more than a late answer.
 	againCost = 0.1
+	// copyCost is the cost of 1,000 shared tokens that are fetched, as a part of a request's worth. They push other parts out
+	// of the engine's memory.
+	copyCost = 0.025
 	// waitCost prefers the shorter wait among choices that are all in time, up to mostWait objectives.
 	waitCost, mostWait = 0.05, 4.0
 	// rankCost lets equal choices go to the prompt's first home.
@@ -74,6 +77,9 @@
 	hosts    int                           // entry hosts that share the endpoints
 	store    *table.Store                  // nil without one
 	holdings *holding.Map                  // cached parts, as far as events tell
+	turnover turnover
+	// storeFetches is what this host's requests fetch from the store, in bytes.
+	storeFetches flow
 }
 
 // namedWeights is a version of a model's weights and when this host learned of it.
@@ -98,6 +104,7 @@
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		named: map[unit.ModelName][]namedWeights{}, paces: map[table.ServiceName]float64{}, hosts: 1, holdings: holding.New(),
+		turnover: turnover{},
 	}
 }
 
@@ -161,7 +168,8 @@
 }
 
 // SetHoldings takes changes of what is cached where.
-func (a *Assigner) SetHoldings(update holding.Update) {
+func (a *Assigner) SetHoldings(now unit.Moment, update holding.Update) {
+	a.turnover.note(now, update.Changes)
 	a.holdings.Merge(update)
 }
 
@@ -223,7 +231,7 @@
 func (a *Assigner) Choose(now unit.Moment, w *Work, tried []unit.EndpointID) (Choice, bool) {
 	w.prepare()
 	candidates := a.services[w.Service]
-	homes := a.homes(now, w, candidates)
+	homes, stocks, pace := a.homes(now, w, candidates), a.stocks(now, w, candidates), a.pace(w.Service)
 	var best *replica
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	bestPaused := false
@@ -231,9 +239,9 @@
 		if r.Draining || slices.Contains(tried, r.ID) {
 			continue
 		}
-		supply := a.supply(now, r, w, homes, i)
-		idle := r.expected(w, a.pace(w.Service), Load{}, supply.missing, supply.fetching)
-		expected := r.expected(w, a.pace(w.Service), r.load(now, a.hosts), supply.missing, supply.fetching) + r.stalled(now)
+		waiting := r.waiting(w, pace, r.load(now, a.hosts)) + r.stalled(now)
+		supply := a.supply(now, r, w, homes, stocks, i, waiting)
+		expected := waiting + r.alone(w, pace, supply.missing) + supply.fetching
 		if !a.mayBegin(now, r, w, expected) {
 			continue
 		}
@@ -248,8 +256,8 @@
 		}
 		best, bestPaused = r, paused
 		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
-		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, expected-idle, supply.missing, value
-		choice.Source, choice.Save, choice.Again = supply.source, supply.save, supply.again
+		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, waiting, supply.missing, value
+		choice.Source, choice.Save, choice.Again, choice.Copied = supply.source, supply.save, supply.again, supply.copied
 	}
 	return choice, best != nil
 }
@@ -284,7 +292,7 @@
 		worth *= upcomingShare
 	}
 	reading := float64(s.missing) / readRate * float64(time.Millisecond)
-	worth -= readCost*reading/objective + waitCost*math.Min(share, mostWait) + againCost*float64(s.again)/1000
+	worth -= readCost*reading/objective + waitCost*math.Min(share, mostWait) + againCost*float64(s.again)/1000 + copyCost*float64(s.copied)/1000
 	if r.DataCentre != a.settings.DataCentre {
 		worth -= distanceCost
 	}
@@ -308,6 +316,9 @@
 			r.cached.add(now, w, r.engine.Memory/unit.Tokens(a.hosts))
 		}
 	}
+	if a.store != nil && choice.Source == a.store.Address && r.engine != nil {
+		a.storeFetches.add(now, float64(choice.Copied)*r.engine.TokenBytes)
+	}
 	r.own = r.own.Add(f.load)
 	r.sent(now, f.load)
 	r.flights[f] = struct{}{}
--- a/internal/routing/assign/replay_test.go
+++ b/internal/routing/assign/replay_test.go
@@ -207,7 +207,7 @@
 			others[id] = load.Sub(h.told[id])
 		}
 		h.assigner.SetLoads(r.now, others)
-		h.assigner.SetHoldings(holding.Update{Changes: events})
+		h.assigner.SetHoldings(r.now, holding.Update{Changes: events})
 	}
 	for _, h := range r.hosts {
 		h.told = h.assigner.Own(r.now)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -102,17 +102,23 @@
 	return max(left, 0)
 }
 
-// expected returns the time until the first byte of an answer.
-func (r *replica) expected(w *Work, pace float64, l Load, missing unit.Tokens, fetching time.Duration) time.Duration {
+// waiting returns how long a request waits for others at the endpoint.
+func (r *replica) waiting(w *Work, pace float64, l Load) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
 		// Requests beyond the places wait for one to become free.
-		waiting := max(0, l.Requests+1-slots)
-		return time.Duration(float64(r.mean) * (1 + float64(waiting)/float64(slots)))
+		return time.Duration(float64(r.mean) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
-	ms := pace * r.factor * (float64(firstStep)/float64(time.Millisecond) + float64(l.Unread+missing)/readRate)
-	first := time.Duration(ms * float64(time.Millisecond))
-	return first + fetching + r.waitForMemory(w, l) + r.waitForSlot(l)
+	reading := pace * r.factor * float64(l.Unread) / readRate * float64(time.Millisecond)
+	return time.Duration(reading) + r.waitForMemory(w, l) + r.waitForSlot(l)
+}
+
+// alone returns the time until the first byte of an answer that waits for nobody.
+func (r *replica) alone(w *Work, pace float64, missing unit.Tokens) time.Duration {
+	if r.engine == nil || !w.Prompted {
+		return r.mean
+	}
+	return time.Duration(pace * r.factor * (float64(firstStep) + float64(missing)/readRate*float64(time.Millisecond)))
 }
 
 // stalled is how much longer than expected the endpoint has sent nothing at all while a request of this host waits there.
--- a/internal/routing/assign/supply.go
+++ b/internal/routing/assign/supply.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math"
 	"slices"
 	"time"
 
@@ -22,9 +23,14 @@
 	eventLag = 800 * time.Millisecond
 	// farFactor is how much longer a fetch takes from another data centre.
 	farFactor = 2
-	// The chance that parts are found where they are looked for: where this host sent them, at the home of the prompt, at
-	// the next home, and in the store.
-	sentShare, homeShare, nextHomeShare, storeShare = 0.9, 0.6, 0.15, 0.9
+	// The chance that parts are found where no event tells of them: at the home of the prompt and at the next home.
+	homeShare, nextHomeShare = 0.6, 0.15
+	// toldShare is the chance that parts are there of which an event has just told. A few events are lost.
+	toldShare = 0.95
+	// farShare prefers a source in the same data centre.
+	farShare = 0.97
+	// storeLoad is the part of its link that fetches from the store may take.
+	storeLoad = 0.5
 )
 
 // homes ranks the endpoints for one prompt by rendezvous hashing. Every host finds the same order without being told, and an
@@ -76,64 +82,89 @@
 	return !r.Draining && r.pausedUntil <= now && now.Sub(r.heardAt) <= a.settings.ReportSilence
 }
 
-// supply says where an endpoint gets the parts of a prompt.
+// stock is what one endpoint is believed to hold of a prompt.
+type stock struct {
+	told     bool    // by events
+	held     int     // first parts that are there, or will be once what was sent there has been read
+	readable int     // first parts that others can fetch
+	loss     float64 // part of what it holds that it drops in a second
+}
+
+// stays is the chance that a part is still there after that time.
+func (s stock) stays(after time.Duration) float64 {
+	if !s.told {
+		return 1
+	}
+	return toldShare * math.Exp(-s.loss*(after+eventLag/2).Seconds())
+}
+
+// stocks returns what each candidate holds. What was sent there lately counts although no event has told of it yet.
+func (a *Assigner) stocks(now unit.Moment, w *Work, candidates []*replica) []stock {
+	if !w.Prompted {
+		return nil
+	}
+	stocks := make([]stock, len(candidates))
+	for i, r := range candidates {
+		s, place := &stocks[i], holding.Place(r.ID)
+		if s.told = a.holdings.Known(place); !s.told {
+			s.held = r.cached.held(w, 0)
+			s.readable = s.held
+			continue
+		}
+		s.loss = a.turnover.rate(now, place, a.holdings.Count(place))
+		for j, part := range w.partsAt(r.weights(w.Model)) {
+			holds := a.holdings.Holds(place, part)
+			if !holds && !r.cached.has(w, j, now.Add(-eventLag)) {
+				break
+			}
+			if holds && s.readable == j {
+				s.readable++
+			}
+			s.held++
+		}
+	}
+	return stocks
+}
+
+// supply says where an endpoint gets the shared parts of a prompt.
 type supply struct {
 	missing  unit.Tokens   // expected to be read
 	again    unit.Tokens   // shared ones among these
+	copied   unit.Tokens   // shared ones that are expected to be fetched
 	fetching time.Duration // expected until fetched parts are there
 	source   string
 	save     string
 }
 
-// held returns how many of the prompt's first parts the endpoint holds, and whether events tell so. What was sent there
-// after the moment since counts although no event has told of it yet: it will be there once the endpoint has read it.
-func (a *Assigner) held(r *replica, w *Work, since unit.Moment) (held int, told bool) {
-	place := holding.Place(r.ID)
-	if !a.holdings.Known(place) {
-		return r.cached.held(w, 0), false
-	}
-	for i, part := range w.partsAt(r.weights(w.Model)) {
-		if !a.holdings.Holds(place, part) && !r.cached.has(w, i, since) {
-			return i, true
-		}
-	}
-	return len(w.Parts), true
-}
-
-// supply decides from where the endpoint at position i fetches the shared parts that it doesn't hold.
-func (a *Assigner) supply(now unit.Moment, r *replica, w *Work, h homes, i int) supply {
+// supply decides from where the endpoint at position i fetches shared parts that it doesn't hold, or holds no more when the
+// request begins there after its wait.
+func (a *Assigner) supply(now unit.Moment, r *replica, w *Work, h homes, stocks []stock, i int, wait time.Duration) supply {
 	if !w.Prompted || r.engine == nil {
 		return supply{}
 	}
-	held, told := a.held(r, w, now.Add(-eventLag))
 	shared := max(len(w.Parts)-1, 0)
-	s := supply{missing: w.unread(held)}
-	lacking := s.missing - w.unread(shared)
-	if held >= shared && shared > 0 {
-		// Parts may be evicted while the request waits. Naming a source for parts that are there costs nothing.
-		if a.storeHolds(r, w, shared-1) {
-			s.source = a.store.Address
-		} else {
-			a.findSource(now, r, w, h, 0, &s)
+	own := stocks[i]
+	s := supply{missing: w.unread(shared)}
+	all := w.unread(0) - s.missing
+	kept := w.unread(0) - w.unread(min(own.held, shared))
+	lacking := float64(all - kept)
+	if !own.told {
+		lacking *= 1 - holdsShare(h.rank(i))
+	}
+	lost := lacking + (1-own.stays(wait))*float64(kept)
+	found := 0.0
+	if all >= fetchLeast {
+		var far bool
+		s.source, found, far = a.source(now, r, w, h, stocks, min(own.held, shared), wait)
+		if s.source != "" {
+			s.copied = unit.Tokens(found * lost)
+			s.fetching = time.Duration(found * lost / float64(all) * float64(a.fetchTime(r, all, far)))
+		} else if a.store != nil && a.holdings.Known(holding.Place(a.store.Address)) && lacking > 0 {
+			s.save = a.store.Address
 		}
-		return s
-	}
-	if lacking < fetchLeast {
-		return s
-	}
-	share := 0.0
-	if !told {
-		share = holdsShare(h.rank(i))
-	}
-	found, far := a.findSource(now, r, w, h, held, &s)
-	if s.source != "" {
-		s.fetching = time.Duration((1 - share) * found * float64(a.fetchTime(r, lacking, far)))
-		share = 1 - (1-share)*(1-found)
-	} else if a.store != nil && a.holdings.Known(holding.Place(a.store.Address)) {
-		s.save = a.store.Address
 	}
-	s.again = unit.Tokens((1 - share) * float64(lacking))
-	s.missing -= lacking - s.again
+	s.again = unit.Tokens((1 - found) * lost)
+	s.missing += s.again
 	return s
 }
 
@@ -150,37 +181,52 @@
 	}
 }
 
-// findSource looks for a replica with the same weights that holds more of the shared parts than the endpoint, then for a
-// store that does. The store's one link serves all, so it comes last. Where no events tell, the prompt's home is asked. It
-// returns the chance that the parts are there.
-func (a *Assigner) findSource(now unit.Moment, r *replica, w *Work, h homes, held int, s *supply) (found float64, far bool) {
-	candidates := a.services[w.Service]
+// source returns the replica with the same weights, or the store, from which most of the shared parts can be expected, more
+// than the endpoint holds itself. Where no events tell, the prompt's home is asked. It returns the part of them that is
+// expected to be found.
+func (a *Assigner) source(
+	now unit.Moment, r *replica, w *Work, h homes, stocks []stock, held int, wait time.Duration,
+) (address string, found float64, far bool) {
 	shared := len(w.Parts) - 1
-	var home *replica
-	most := held
+	all := float64(w.unread(0) - w.unread(shared))
+	least := min(held+1, shared) // a second place for all of them helps if they are dropped meanwhile
 	for _, i := range h.order {
-		other := candidates[i]
+		other := a.services[w.Service][i]
 		if other == r || other.weights(w.Model) != r.weights(w.Model) || !a.reachable(now, other) {
 			continue
 		}
-		holds, told := a.held(other, w, unit.Never) // parts that are still being read can't be fetched
-		holds = min(holds, shared)
-		if near := other.DataCentre == r.DataCentre; holds > most || holds == most && far && near && s.source != "" {
-			most, s.source, found, far = holds, other.Address, sentShare, !near
+		readable, chance := min(stocks[i].readable, shared), stocks[i].stays(wait)
+		if !stocks[i].told && h.ranks[i] == 0 && readable < shared {
+			readable, chance = shared, homeShare
 		}
-		if home == nil && !told && h.ranks[i] == 0 {
-			home = other
+		if readable < least {
+			continue
+		}
+		share := chance * float64(w.unread(0)-w.unread(readable)) / all
+		if other.DataCentre != r.DataCentre {
+			share *= farShare
+		}
+		if share > found {
+			address, found, far = other.Address, share, other.DataCentre != r.DataCentre
 		}
 	}
-	if most < shared && a.storeHolds(r, w, most) {
-		s.source = a.store.Address
-		return storeShare, true
+	if a.store != nil && a.storeHolds(r, w, shared-1) && a.storeFree(now) {
+		place := holding.Place(a.store.Address)
+		in := stock{told: true, loss: a.turnover.rate(now, place, a.holdings.Count(place))}
+		if share := farShare * in.stays(wait); share > found {
+			return a.store.Address, share, true
+		}
 	}
-	if s.source == "" && home != nil {
-		s.source = home.Address
-		return homeShare, home.DataCentre != r.DataCentre
+	return address, found, far
+}
+
+// storeFree reports whether the store's link, which all engines share, has room for another fetch. Other hosts are expected
+// to fetch as much as this one.
+func (a *Assigner) storeFree(now unit.Moment) bool {
+	if a.store.LinkBytes <= 0 {
+		return true
 	}
-	return found, far
+	return a.storeFetches.rate(now)*float64(a.hosts) < storeLoad*a.store.LinkBytes
 }
 
 // storeHolds reports whether the store holds more than so many of the prompt's first parts.
--- a/internal/routing/assign/suspicion.go
+++ b/internal/routing/assign/suspicion.go
@@ -81,7 +81,7 @@
 // gets one request at a time until it answers, and none while its reports are missing too: every host would lose a request
 // there for each pause. Other hosts' word counts unless something came from the endpoint lately.
 func (a *Assigner) suspects(now unit.Moment, r *replica) bool {
-	if r.inRow > 0 && (a.silent(now, r) || r.waiting()) {
+	if r.inRow > 0 && (a.silent(now, r) || r.probed()) {
 		return true
 	}
 	return r.others.Unheard >= min(hostsNeeded, a.hosts-1) && r.others.Unheard > r.others.Heard && now.Sub(r.answeredAt) > heardLately
@@ -92,8 +92,8 @@
 	return now.Sub(r.heardAt) > a.settings.ReportSilence && now.Sub(a.loadsAt) < a.settings.ReportSilence
 }
 
-// waiting reports whether a request of this host waits for its first byte.
-func (r *replica) waiting() bool {
+// probed reports whether a request of this host waits for its first byte.
+func (r *replica) probed() bool {
 	for f := range r.flights {
 		if !f.begun {
 			return true
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -142,6 +142,7 @@
 	Missing  unit.Tokens        // prompt tokens that the endpoint is expected to read
 	Value    float64            // expected part of the request's worth
 	Again    unit.Tokens        // shared ones among the missing, expected to be read a second time
+	Copied   unit.Tokens        // shared ones that are expected to be fetched
 	// Source is the address of a replica or store from which the endpoint fetches parts that it lacks, empty for none.
 	Source string
 	// Save is the address of the store to which the endpoint sends the parts that it reads, empty for none.
--- a/internal/routing/holding/map.go
+++ b/internal/routing/holding/map.go
@@ -189,6 +189,11 @@
 	return parts
 }
 
+// Count returns the number of parts that a place holds.
+func (m *Map) Count(place Place) int {
+	return len(m.places[place])
+}
+
 // Known reports whether the events of a place are followed.
 func (m *Map) Known(place Place) bool {
 	_, ok := m.places[place]
