Add a fault soak over separate processes

Change: test/soak starts five control and three entry hosts as processes, with stand-ins for replicas behind loopback proxies, and draws faults from a seed: processes killed, paused, stopped and started again, hung up, all control hosts killed, a disk lost, a write torn; connections delayed, reset, silenced one or both ways, refused; replicas that crash or drain. Callers and an operator go on meanwhile. It checks that at-most-once requests run once, that refusals are true, answers whole and their own, streams in order, departures kept, acknowledged versions never lost or refused, and that everything is served again after the last fault.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GOVULNCHECK_VERSION := v1.9.0
 GOFUMPT_VERSION := v0.12.0
 
-.PHONY: build test race lint vulnerabilities bench demo measure install-tools clean
+.PHONY: build test race soak lint vulnerabilities bench demo measure install-tools clean
 
 build:
 	$(GO) build -o bin/citronglade ./cmd/citronglade
@@ -14,6 +14,7 @@
 	$(GO) test ./internal/... ./cmd/... ./platform
 	$(GO) test ./test ./test/clients
 	$(GO) test ./test/scenarios
+	$(GO) test ./test/soak
 
 race:
 	$(GO) test -race ./internal/... ./platform
@@ -37,6 +38,11 @@
 demo: build
 	$(GO) run ./test/demo
 
+# Fifty seeds of the fault soak, in three runs beside each other.
+soak:
+	for first in 1 18 35; do $(GO) test ./test/soak -count 1 -timeout 30m -soak-from $$first -soak-seeds 17 & jobs="$$jobs $$!"; done; \
+	for job in $$jobs; do wait $$job || failed=1; done; test -z "$$failed"
+
 bench: build
 	$(GO) run ./test/bench
 	$(GO) test -run xxx -bench 'Propose|Restart' -benchtime 1s ./internal/agreement/member
--- /dev/null
+++ b/test/soak/host_test.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// host is one process of the router, on a loopback address of its own.
+type host struct {
+	name    string
+	ip      string
+	control bool
+	folder  string // survives a restart
+	port    string
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	starts  int
+	wanted  bool // the process shall run
+	logs    *os.File
+}
+
+func (h *host) url() string {
+	return "http://" + net.JoinHostPort(h.ip, h.port)
+}
+
+// bootFile writes the settings file of the next start.
+func (h *host) bootFile(t *testing.T, s *soak, first bool) string {
+	t.Helper()
+	listen := map[string]string{"Front": net.JoinHostPort(h.ip, h.port), "Ready": net.JoinHostPort(h.ip, s.readyPort)}
+	if h.control {
+		listen = map[string]string{"Control": net.JoinHostPort(h.ip, h.port)}
+	}
+	var seeds []string
+	for _, other := range s.controls()[:3] {
+		seeds = append(seeds, net.JoinHostPort(other.ip, other.port))
+	}
+	data, err := json.Marshal(map[string]any{
+		"Node": h.name, "Ip": h.ip, "Zone": "z", "Listen": listen, "PortRange": []int{s.linkPort, s.linkPort + 1}, "Seeds": seeds,
+		"Bootstrap": first, "DataDir": h.folder, "HeartbeatMs": beatInterval.Milliseconds(), "Limits": map[string]int{"MemoryMb": 280},
+		"FaultTolerance": map[string]int{"Machines": 2},
+		"Bounds": map[string]any{
+			"GraceS": stopGrace.Seconds(), "LeaseMs": 3000, "VersionMs": 10000, "RetryBudgetRatio": 0.2, "RetryBudgetExtra": 54, "BudgetWindowS": 10,
+		},
+	})
+	assert.NilError(t, err)
+	path := filepath.Join(s.folder, h.name+".json")
+	assert.NilError(t, os.WriteFile(path, data, 0o600))
+	return path
+}
+
+// start starts the process unless it runs.
+func (h *host) start(t *testing.T, s *soak, first bool) {
+	t.Helper()
+	boot := h.bootFile(t, s, first)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command != nil {
+		return
+	}
+	h.starts++
+	command := exec.Command(binary, "platform")
+	command.Dir = s.folder // the keys are below
+	command.Env = append(os.Environ(), "CITRONGLADE_BOOT="+boot)
+	command.Stdout, command.Stderr = h.logs, h.logs
+	assert.NilError(t, command.Start())
+	h.command, h.ended, h.wanted = command, make(chan struct{}), true
+	go func(ended chan struct{}) {
+		err := command.Wait()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.wanted {
+			s.breaks("EXIT", "%s ended by itself: %v", h.name, err)
+		}
+		h.command = nil
+		close(ended)
+	}(h.ended)
+}
+
+// signal sends a signal to the process if it runs.
+func (h *host) signal(signal syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.command == nil {
+		return
+	}
+	if signal == syscall.SIGKILL || signal == syscall.SIGTERM {
+		h.wanted = false
+	}
+	_ = h.command.Process.Signal(signal) // the process may have just ended
+}
+
+// end stops the process and waits for its end.
+func (h *host) end(signal syscall.Signal) {
+	h.mu.Lock()
+	ended := h.ended
+	running := h.command != nil
+	h.mu.Unlock()
+	if !running {
+		return
+	}
+	h.signal(signal)
+	select {
+	case <-ended:
+	case <-time.After(stopGrace + time.Second):
+		h.signal(syscall.SIGKILL)
+		<-ended
+	}
+}
+
+// wipe empties the disk of a process that has ended.
+func (h *host) wipe(t *testing.T) {
+	t.Helper()
+	assert.NilError(t, os.RemoveAll(h.folder))
+	assert.NilError(t, os.MkdirAll(h.folder, 0o700))
+}
+
+// tear appends bytes to the newest file on the disk, as a write does that was cut by a loss of power.
+func (h *host) tear(t *testing.T, garbage []byte) {
+	t.Helper()
+	newest, newestAt := "", time.Time{}
+	_ = filepath.Walk(filepath.Join(h.folder, "book"), func(path string, info os.FileInfo, err error) error {
+		if err == nil && info.Mode().IsRegular() && info.ModTime().After(newestAt) {
+			newest, newestAt = path, info.ModTime()
+		}
+		return nil
+	})
+	if newest == "" {
+		return
+	}
+	file, err := os.OpenFile(newest, os.O_APPEND|os.O_WRONLY, 0o600)
+	assert.NilError(t, err)
+	_, err = file.Write(garbage)
+	assert.NilError(t, err)
+	assert.NilError(t, file.Close())
+}
+
+func (h *host) String() string {
+	return fmt.Sprintf("%s(%d)", h.name, h.starts)
+}
