Expect what many hosts send to the same idle engines meanwhile

A trial that logged the loads behind each choice showed why: over all engines the told loads were right (3.0 million unread tokens told, 2.4 true), but the engine that was chosen had 1,200 unread tokens by what was told and 47,800 in truth. 84 hosts see the same view, 0.35 s old, and all send to the engines that seem idle; one host's own sending, from which that of the others was extrapolated, is next to nothing there. Besides, the time that requests take was learned for each engine, of which one of 84 hosts sees too few, so that waits for memory and slots were estimated from the default of 150 ms.

--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -33,7 +33,7 @@
 	// waitCost prefers the shorter wait among choices that are all in time, up to mostWait objectives.
 	waitCost, mostWait = 0.05, 4.0
 	// rankCost lets equal choices go to the prompt's first home.
-	rankCost = 1e-6
+	rankCost = 0.02
 	// distanceCost is the cost of another data centre.
 	distanceCost = 0.01
 	// silentShare is the chance that an endpoint whose reports have stopped still serves.
@@ -73,11 +73,12 @@
 	services map[table.ServiceName][]*replica  // by id
 	named    map[unit.ModelName][]namedWeights // in the order of their numbers
 	loadsAt  unit.Moment
-	paces    map[table.ServiceName]float64 // observed over expected time to the first byte, of all endpoints together
-	hosts    int                           // entry hosts that share the endpoints
-	store    *table.Store                  // nil without one
-	holdings *holding.Map                  // cached parts, as far as events tell
+	paces    map[table.ServiceName]pace
+	hosts    int          // entry hosts that share the endpoints
+	store    *table.Store // nil without one
+	holdings *holding.Map // cached parts, as far as events tell
 	turnover turnover
+	sendings map[table.ServiceName]*sending
 	// storeFetches is what this host's requests fetch from the store, in bytes.
 	storeFetches flow
 }
@@ -103,8 +104,8 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		named: map[unit.ModelName][]namedWeights{}, paces: map[table.ServiceName]float64{}, hosts: 1, holdings: holding.New(),
-		turnover: turnover{},
+		named: map[unit.ModelName][]namedWeights{}, paces: map[table.ServiceName]pace{}, hosts: 1, holdings: holding.New(),
+		turnover: turnover{}, sendings: map[table.ServiceName]*sending{},
 	}
 }
 
@@ -232,29 +233,30 @@
 	w.prepare()
 	candidates := a.services[w.Service]
 	homes, stocks, pace := a.homes(now, w, candidates), a.stocks(now, w, candidates), a.pace(w.Service)
+	loads := a.loads(now, w, candidates, pace)
 	var best *replica
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
-	bestPaused := false
+	bestTier := tierOpen
 	for i, r := range candidates {
 		if r.Draining || slices.Contains(tried, r.ID) {
 			continue
 		}
-		waiting := r.waiting(w, pace, r.load(now, a.hosts)) + r.stalled(now)
+		waiting := r.waiting(w, pace, loads[i]) + r.stalled(now)
 		supply := a.supply(now, r, w, homes, stocks, i, waiting)
 		expected := waiting + r.alone(w, pace, supply.missing) + supply.fetching
 		if !a.mayBegin(now, r, w, expected) {
 			continue
 		}
 		choice.Others++
-		value := a.value(now, r, w, expected, supply) - rankCost*float64(homes.rank(i))
-		paused := r.pausedUntil > now || r.updating || a.suspects(now, r)
-		if paused {
+		value := a.value(now, r, w, expected, supply) - rankCost*math.Log2(1+float64(homes.rank(i)))
+		tier := a.tier(now, r, w, waiting)
+		if tier == tierPaused {
 			choice.Paused++
 		}
-		if best != nil && (paused && !bestPaused || paused == bestPaused && value <= choice.Value) {
+		if best != nil && (tier > bestTier || tier == bestTier && value <= choice.Value) {
 			continue
 		}
-		best, bestPaused = r, paused
+		best, bestTier = r, tier
 		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
 		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, waiting, supply.missing, value
 		choice.Source, choice.Save, choice.Again, choice.Copied = supply.source, supply.save, supply.again, supply.copied
@@ -262,6 +264,26 @@
 	return choice, best != nil
 }
 
+// tier orders endpoints before their value does.
+type tier uint8
+
+const (
+	tierOpen   tier = iota
+	tierBehind      // would make the request wait so long that it isn't admitted
+	tierPaused      // gets a request only where no other endpoint can
+)
+
+func (a *Assigner) tier(now unit.Moment, r *replica, w *Work, waiting time.Duration) tier {
+	switch {
+	case r.pausedUntil > now || r.updating || a.suspects(now, r):
+		return tierPaused
+	case !w.admits(waiting):
+		return tierBehind
+	default:
+		return tierOpen
+	}
+}
+
 // mayBegin reports whether the endpoint's weights will be new enough when the request begins there. The wait at an endpoint
 // may turn out to be longer than expected.
 func (a *Assigner) mayBegin(now unit.Moment, r *replica, w *Work, expected time.Duration) bool {
@@ -321,6 +343,12 @@
 	}
 	r.own = r.own.Add(f.load)
 	r.sent(now, f.load)
+	if w.Prompted {
+		if a.sendings[w.Service] == nil {
+			a.sendings[w.Service] = &sending{}
+		}
+		a.sendings[w.Service].add(now, f.load)
+	}
 	r.flights[f] = struct{}{}
 	return f
 }
@@ -339,13 +367,18 @@
 	f.load.Unread = 0
 }
 
-// pace is how much longer than expected the service's endpoints take to begin an answer. One of many hosts sends to each of
-// many endpoints too rarely to learn it of each.
-func (a *Assigner) pace(service table.ServiceName) float64 {
-	if pace, ok := a.paces[service]; ok {
-		return pace
+// pace is what all engines of a service are like. One of many hosts sends to each of many engines too rarely to learn it of
+// each.
+type pace struct {
+	factor float64       // observed over expected time to the first byte
+	mean   time.Duration // of a request, for which it takes a place and memory
+}
+
+func (a *Assigner) pace(service table.ServiceName) pace {
+	if known, ok := a.paces[service]; ok {
+		return known
 	}
-	return 1
+	return pace{factor: 1, mean: defaultDuration}
 }
 
 func (a *Assigner) learnFirstByte(f *Flight, observed time.Duration) {
@@ -355,7 +388,19 @@
 	ratio := min(max(float64(observed)/float64(f.expected), 1/ratioBound), ratioBound)
 	f.replica.factor = min(max(f.replica.factor*math.Pow(ratio, learnShare), fastest), slowest)
 	service := f.replica.Service
-	a.paces[service] = min(max(a.pace(service)*math.Pow(ratio, paceShare), fastest), slowest)
+	known := a.pace(service)
+	known.factor = min(max(known.factor*math.Pow(ratio, paceShare), fastest), slowest)
+	a.paces[service] = known
+}
+
+// learnDuration takes the whole time of a request into account.
+func (a *Assigner) learnDuration(f *Flight, took time.Duration) {
+	f.replica.mean += time.Duration(learnShare * float64(took-f.replica.mean))
+	if f.work.Prompted {
+		known := a.pace(f.replica.Service)
+		known.mean += time.Duration(paceShare * float64(took-known.mean))
+		a.paces[f.replica.Service] = known
+	}
 }
 
 // Heard notes that the endpoint of the attempt sent something.
@@ -377,7 +422,7 @@
 	r.note(now, ending)
 	if ending == EndedWell {
 		r.answeredAt = now
-		r.learnDuration(now.Sub(f.sentAt))
+		a.learnDuration(f, now.Sub(f.sentAt))
 	}
 	if ending == EndedUnreachable || ending == EndedBroken && !f.begun {
 		// The process behind the address may be a new one with an empty cache.
--- /dev/null
+++ b/internal/routing/assign/level_test.go
@@ -0,0 +1,78 @@
+package assign
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/holding"
+)
+
+// Guards against a level that adds more or less than the amount, or that lowers an engine's load.
+func TestTheWaterLevelAddsTheAmount(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		levels := rapid.SliceOfN(rapid.Float64Range(0, 1e6), 1, 40).Draw(t, "levels")
+		amount := rapid.Float64Range(0, 1e6).Draw(t, "amount")
+		height := waterLevel(append([]float64{}, levels...), amount)
+		added := 0.0
+		for _, level := range levels {
+			added += max(0, height-level)
+		}
+		assert.Assert(t, added > amount-1 && added < amount+1, "%v added, want %v", added, amount)
+	})
+	assert.Equal(t, waterLevel(nil, 5), 0.0)
+}
+
+// Replays very many hosts that decide on the same stale view in which a few of the engines are idle, as after a rollout: together
+// they must not send several times as much there as to the others.
+func TestManyHostsDoNotFillTheSameEngines(t *testing.T) {
+	const engines, hosts, idle, rate, subjects = 60, 80, 6, 10, 50 // rate is that of one host, a second
+	sent := map[unit.EndpointID]int{}
+	for host := range hosts {
+		a := New(testSettings)
+		a.SetHosts(hosts)
+		var known []registry.Endpoint
+		others := map[unit.EndpointID]Load{}
+		for e := range engines {
+			k := endpoint(fmt.Sprintf("e%02d", e), 1, at(0))
+			known = append(known, k)
+			if e >= idle {
+				others[k.ID] = Load{Requests: 10, Tokens: 60_000, Unread: 24_000}
+			}
+		}
+		set(a, known...)
+		for _, k := range known {
+			change := holding.Change{Place: holding.Place(k.ID)}
+			for subject := range subjects {
+				change.Added = append(change.Added, prompt(fmt.Sprint("s", subject), "").partsAt(1)[0])
+			}
+			a.SetHoldings(at(0), holding.Update{Changes: []holding.Change{change}})
+		}
+		for ms := 0; ms < 3_000; ms += 1_000 / rate {
+			now := at(ms + host)
+			a.SetLoads(now.Add(-100*time.Millisecond), others)
+			w := prompt(fmt.Sprint("s", (ms/100*hosts+host)%subjects), fmt.Sprint("o", ms*hosts+host))
+			w.Shortest = w.Objective
+			choice, ok := a.Choose(now, w, nil)
+			assert.Assert(t, ok)
+			flight := a.Begin(now, w, choice)
+			if ms >= 2_000 { // the rate is known
+				sent[choice.Endpoint]++
+			}
+			a.Began(now.Add(50*time.Millisecond), flight)
+			a.End(now.Add(90*time.Millisecond), flight, EndedWell)
+		}
+	}
+	toIdle := 0
+	for e := range idle {
+		toIdle += sent[unit.EndpointID(fmt.Sprintf("e%02d", e))]
+	}
+	all := hosts * rate
+	// In the 0.35 s that a view is old, the hosts send 280 requests. Some 15 of them bring the idle engines level with the others.
+	assert.Assert(t, toIdle <= 3*all*idle/engines, "%d of %d requests went to %d of %d engines", toIdle, all, idle, engines)
+}
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -78,12 +78,16 @@
 	}
 }
 
-// load estimates what is in hand at the endpoint. What other hosts told is a fraction of a second old; since then each of
-// them has probably sent as much there as this host has, because all decide alike on the same view.
+// load estimates what is in hand at the endpoint.
 func (r *replica) load(now unit.Moment, hosts int) Load {
+	return r.own.Add(r.others).Add(r.untold(now, hosts))
+}
+
+// untold estimates what other hosts have sent since they told: each of them has probably sent as much there as this host has,
+// because all decide alike on the same view.
+func (r *replica) untold(now unit.Moment, hosts int) Load {
 	keep := math.Exp(-float64(now.Sub(r.recentAt)) / float64(loadLag))
-	untold := float64(min(hosts-1, mostUntold))
-	return r.own.Add(r.others).Add(r.recent.scale(keep * untoldShare * untold).round())
+	return r.recent.scale(keep * untoldShare * float64(min(hosts-1, mostUntold))).round()
 }
 
 // sent notes a load that other hosts can't know of yet.
@@ -103,22 +107,22 @@
 }
 
 // waiting returns how long a request waits for others at the endpoint.
-func (r *replica) waiting(w *Work, pace float64, l Load) time.Duration {
+func (r *replica) waiting(w *Work, p pace, l Load) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
 		// Requests beyond the places wait for one to become free.
 		return time.Duration(float64(r.mean) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
-	reading := pace * r.factor * float64(l.Unread) / readRate * float64(time.Millisecond)
-	return time.Duration(reading) + r.waitForMemory(w, l) + r.waitForSlot(l)
+	reading := p.factor * r.factor * float64(l.Unread) / readRate * float64(time.Millisecond)
+	return time.Duration(reading) + r.waitForMemory(w, p, l) + r.waitForSlot(p, l)
 }
 
 // alone returns the time until the first byte of an answer that waits for nobody.
-func (r *replica) alone(w *Work, pace float64, missing unit.Tokens) time.Duration {
+func (r *replica) alone(w *Work, p pace, missing unit.Tokens) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		return r.mean
 	}
-	return time.Duration(pace * r.factor * (float64(firstStep) + float64(missing)/readRate*float64(time.Millisecond)))
+	return time.Duration(p.factor * r.factor * (float64(firstStep) + float64(missing)/readRate*float64(time.Millisecond)))
 }
 
 // stalled is how much longer than expected the endpoint has sent nothing at all while a request of this host waits there.
@@ -138,20 +142,20 @@
 
 // waitForMemory is the time until enough of the running requests have ended to make room. Their memory is expected to be
 // given back evenly over the mean time of a request.
-func (r *replica) waitForMemory(w *Work, l Load) time.Duration {
+func (r *replica) waitForMemory(w *Work, p pace, l Load) time.Duration {
 	short := l.Tokens + w.tokens() - r.engine.Memory
 	if short <= 0 || l.Tokens <= 0 {
 		return 0
 	}
-	return time.Duration(float64(r.mean) * float64(short) / float64(l.Tokens))
+	return time.Duration(float64(p.mean) * float64(short) / float64(l.Tokens))
 }
 
-func (r *replica) waitForSlot(l Load) time.Duration {
+func (r *replica) waitForSlot(p pace, l Load) time.Duration {
 	over := l.Requests + 1 - r.engine.Slots
 	if over <= 0 || r.engine.Slots <= 0 {
 		return 0
 	}
-	return time.Duration(float64(r.mean) * float64(over) / float64(r.engine.Slots))
+	return time.Duration(float64(p.mean) * float64(over) / float64(r.engine.Slots))
 }
 
 // reliability is the part of attempts that is expected to succeed.
@@ -199,10 +203,6 @@
 	return r.Weights[model]
 }
 
-func (r *replica) learnDuration(took time.Duration) {
-	r.mean += time.Duration(learnShare * float64(took-r.mean))
-}
-
 // floatLoad is a load in fractions.
 type floatLoad struct {
 	requests, tokens, unread float64
