Don't let a lost host keep others from joining the group

Cause: a scripted replacement on the deterministic driver stayed at four of five votes for good. A host that has asked to join stayed listed as a candidate after it had become a voter and was removed as silent; the plan added it again, it never caught up, and while a host is catching up no other one is added. The same held for a newcomer that is lost while it catches up. Two more lost disks would then have cost the group its majority.

Change: a host counts as a candidate only while it goes on asking (2 s), and a learner that has been silent for long is removed.

--- a/internal/agreement/member/member.go
+++ b/internal/agreement/member/member.go
@@ -153,7 +153,7 @@
 	Failed      bool          // the disk failed
 	HeardAt     unit.Moment   // when a follower heard its leader, or a leader its quorum
 	Candidates  []string      // hosts that ask to join
-	Silent      []string      // voters that leave a leader's heartbeats unanswered
+	Silent      []string      // members that leave a leader's heartbeats unanswered
 }
 
 // Status returns the visible state.
--- a/internal/agreement/quorum/formation.go
+++ b/internal/agreement/quorum/formation.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
@@ -10,12 +11,28 @@
 type formation struct {
 	heard      map[string]NodeID // unformed peers and their identities
 	formed     bool              // some peer belongs to a group already, so no new group may be formed
-	candidates map[string]NodeID // hosts that may be added
+	candidates map[string]candidate
 	helloAt    unit.Moment
 }
 
+// candidate is a host that may be added.
+type candidate struct {
+	id NodeID
+	at unit.Moment // when it last asked
+}
+
+// candidateMemory is how long a host that doesn't ask any more still counts as one that may be added. Hosts ask with every
+// heartbeat; one that was lost since would be a member that never catches up.
+const candidateMemory = 2 * time.Second
+
 func newFormation() formation {
-	return formation{heard: map[string]NodeID{}, candidates: map[string]NodeID{}}
+	return formation{heard: map[string]NodeID{}, candidates: map[string]candidate{}}
+}
+
+// candidate returns the identity under which a host asks to join.
+func (n *Node) candidate(host string) (NodeID, bool) {
+	c, ok := n.formation.candidates[host]
+	return c.id, ok && n.now.Sub(c.at) <= candidateMemory
 }
 
 // tickFormation announces the node and forms the group once every peer has announced itself with an empty disk. Only the
@@ -50,8 +67,8 @@
 func (n *Node) hostsToJoin() []string {
 	members := n.configuration().members()
 	var hosts []string
-	for host, id := range n.formation.candidates {
-		if !slices.Contains(members, id) {
+	for host := range n.formation.candidates {
+		if id, ok := n.candidate(host); ok && !slices.Contains(members, id) {
 			hosts = append(hosts, host)
 		}
 	}
@@ -114,8 +131,8 @@
 		return
 	}
 	n.send(Message{Kind: MessageHello, To: m.From})
-	if len(n.formation.candidates) < maxMembers {
-		n.formation.candidates[host] = m.From
+	if _, known := n.formation.candidates[host]; known || len(n.formation.candidates) < maxMembers {
+		n.formation.candidates[host] = candidate{m.From, n.now}
 	}
 	n.considerReplacement(m.From)
 }
--- a/internal/agreement/quorum/leader.go
+++ b/internal/agreement/quorum/leader.go
@@ -7,7 +7,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
-// SilentAfter is how long a voter may leave heartbeats unanswered before Status lists it as silent.
+// SilentAfter is how long a member may leave heartbeats unanswered before Status lists it as silent.
 const SilentAfter = 7 * time.Second
 
 // leading is the state that a node has only while it leads.
@@ -79,13 +79,13 @@
 	return p
 }
 
-// silentVoters returns the hosts of voters that haven't answered this leader for SilentAfter.
-func (n *Node) silentVoters() []string {
+// silentMembers returns the hosts of voters and learners that haven't answered this leader for SilentAfter.
+func (n *Node) silentMembers() []string {
 	if n.role != Leader {
 		return nil
 	}
 	var hosts []string
-	for _, id := range n.configuration().Voters {
+	for _, id := range n.configuration().members() {
 		if p := n.member(id); p != nil && n.now.Sub(p.ackedAt) > SilentAfter {
 			hosts = append(hosts, id.Host())
 		}
--- a/internal/agreement/quorum/membership.go
+++ b/internal/agreement/quorum/membership.go
@@ -79,7 +79,7 @@
 func (n *Node) nextConfiguration(order Change) (Configuration, error) {
 	current := n.configuration()
 	if order.Add != "" {
-		id, heard := n.formation.candidates[order.Add]
+		id, heard := n.candidate(order.Add)
 		if !heard {
 			return current, fault.NotFound.New("host %q hasn't announced itself as ready to join", order.Add)
 		}
--- a/internal/agreement/quorum/node.go
+++ b/internal/agreement/quorum/node.go
@@ -240,7 +240,7 @@
 		LeaderSince: n.leaderSince, LeaseUntil: n.leaseUntil(), Commit: n.log.commit, Last: n.log.last(),
 		Configuration: n.configuration().clone(), Failed: n.failed,
 		HandingOver: n.leading != nil && n.leading.handover != "",
-		HeardAt:     n.lastHeard(), Candidates: n.hostsToJoin(), Silent: n.silentVoters(),
+		HeardAt:     n.lastHeard(), Candidates: n.hostsToJoin(), Silent: n.silentMembers(),
 	}
 }
 
--- a/internal/agreement/quorum/types.go
+++ b/internal/agreement/quorum/types.go
@@ -172,7 +172,7 @@
 	Failed        bool
 	HeardAt       unit.Moment // when a follower heard its leader, or a leader its quorum
 	Candidates    []string    // hosts that ask to join and aren't members, sorted
-	Silent        []string    // voters that haven't answered this leader for SilentAfter, sorted
+	Silent        []string    // members that haven't answered this leader for SilentAfter, sorted
 }
 
 // Config holds the fixed settings of a node.
--- a/internal/control/voters/plan.go
+++ b/internal/control/voters/plan.go
@@ -10,7 +10,7 @@
 	Voters     []string // hosts that vote
 	Learners   []string // hosts that are catching up
 	Candidates []string // hosts that ask to join
-	Silent     []string // voters that have left heartbeats unanswered for long
+	Silent     []string // voters and learners that have left heartbeats unanswered for long
 	Target     int      // voters that tolerate the loss that the installation is built for
 }
 
@@ -23,6 +23,11 @@
 // New returns the next change. A host is only added while votes are missing, and a silent voter is only removed when
 // another host is ready to take its place and the others keep a majority that answers.
 func New(s State) Plan {
+	for _, learner := range s.Learners {
+		if slices.Contains(s.Silent, learner) {
+			return Plan{Remove: learner} // it would keep all others from joining
+		}
+	}
 	if len(s.Learners) > 0 {
 		return Plan{} // a host that is catching up becomes a voter by itself
 	}
@@ -33,7 +38,7 @@
 	if len(s.Voters) < s.Target {
 		return Plan{Add: newcomer}
 	}
-	answering := len(s.Voters) - len(s.Silent)
+	answering := len(s.Voters) - len(s.Silent) // there are no learners
 	for _, silent := range s.Silent {
 		if silent != s.Self && answering > len(s.Voters)/2 {
 			return Plan{Remove: silent}
--- a/internal/control/voters/plan_test.go
+++ b/internal/control/voters/plan_test.go
@@ -16,6 +16,7 @@
 		{name: "nothing to do", state: State{Voters: []string{"a", "b", "c"}, Target: 3}},
 		{name: "votes missing", state: State{Voters: []string{"a", "b", "c"}, Candidates: []string{"d", "e"}, Target: 5}, want: Plan{Add: "d"}},
 		{name: "votes missing, one is catching up", state: State{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}, Candidates: []string{"e"}, Target: 5}},
+		{name: "lost while it was catching up", state: State{Voters: []string{"a", "b", "c"}, Learners: []string{"d"}, Silent: []string{"d"}, Candidates: []string{"e"}, Target: 5}, want: Plan{Remove: "d"}},
 		{name: "enough votes", state: State{Voters: []string{"a", "b", "c"}, Candidates: []string{"d"}, Target: 3}},
 		{name: "silent, nobody waits", state: State{Voters: []string{"a", "b", "c"}, Silent: []string{"c"}, Target: 3}},
 		{name: "silent, one waits", state: State{Voters: []string{"a", "b", "c"}, Silent: []string{"c"}, Candidates: []string{"d"}, Target: 3}, want: Plan{Remove: "c"}},
