--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -299,7 +299,7 @@
 
 func (r *request) logStream(choice assign.Choice) {
 	r.h.Log.Info("request-ended", "request", string(r.call.ID), "outcome", "answered", "ms", r.h.Now().Sub(r.call.Arrived).Milliseconds(),
-		"first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds(), "expected-ms", choice.Expected.Milliseconds(), "route", r.route.Name,
+		"first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds(), "expected-ms", choice.Expected.Milliseconds(), "waiting-ms", choice.Waiting.Milliseconds(), "route", r.route.Name,
 		"table-version", uint64(r.table.Version), "endpoint", string(choice.Endpoint), "weights", uint64(choice.Weights),
 		"missing-tokens", int64(choice.Missing), "again-tokens", int64(choice.Again), "source", choice.Source, "save", choice.Save != "", "weighed", choice.Others, "paused", choice.Paused, "load-age-ms", choice.LoadAge.Milliseconds(), "sends", r.sends)
 }
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -147,6 +147,7 @@
 	body     []byte
 	deadline unit.Moment
 
+	weighed   *assign.Choice // the last choice, also one that was refused
 	tried     []unit.EndpointID
 	sends     int
 	arrived   bool // an attempt has reached an endpoint, so that a further one is counted
@@ -275,6 +276,7 @@
 	if !ok {
 		return choice, nil, fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
 	}
+	r.weighed = &choice
 	if choice.Expected > r.work.Patience {
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s, the caller waits %s", choice.Expected, r.work.Patience).
 			WithProperty(fault.RetryAfter, choice.Expected/2)
@@ -387,6 +389,10 @@
 	if len(r.tried) > 0 {
 		attributes = append(attributes, "endpoints", r.tried)
 	}
+	if c := r.weighed; c != nil && outcome == "refused" {
+		attributes = append(attributes, "best", string(c.Endpoint), "expected-ms", c.Expected.Milliseconds(), "waiting-ms", c.Waiting.Milliseconds(),
+			"weighed", c.Others, "paused", c.Paused, "load-age-ms", c.LoadAge.Milliseconds())
+	}
 	if err != nil {
 		attributes = append(attributes, "cause", err.Error())
 	}
