Use idle connections only for as short as endpoints keep them

A request that may run only once is then answered 502, as nobody knows whether it ran; it goes on for as long as the endpoints do so.

Change: a connection that ends within 30 ms of the first request after a rest of 100 ms or more bounds the rest of all connections to half of that; the bound doubles every 3 s.

--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -42,6 +42,8 @@
 	limit  *limitedReader
 	// usableUntil is when an idle connection becomes too old; it is written before the connection is put back.
 	usableUntil unit.Moment
+	keptAt      unit.Moment   // when it was put back last
+	rested      time.Duration // how long it was idle before the current request
 
 	mu      sync.Mutex
 	waiting *pending // the request that waits for its answer
@@ -55,6 +57,7 @@
 	head    chan headResult // gets the answer's head or the failure
 	read    chan bool       // gets whether the connection may be used again once the answer was read
 	written chan error      // gets the result of sending the request
+	sentAt  unit.Moment
 }
 
 type headResult struct {
@@ -117,6 +120,7 @@
 			return // the endpoint closed an idle connection or sent unasked bytes
 		}
 		if err != nil {
+			c.pool.noteEnd(c, p)
 			p.head <- headResult{err: fault.BrokenAnswer.Wrap(err, "the connection to %s ended before the answer", c.at.endpoint)}
 			return
 		}
@@ -164,7 +168,8 @@
 
 // putBack keeps the connection for the next request, for so long at most.
 func (c *connection) putBack(idle time.Duration) {
-	c.usableUntil = c.pool.now().Add(idle)
+	c.keptAt = c.pool.now()
+	c.usableUntil = c.keptAt.Add(idle)
 	c.mu.Lock()
 	c.waiting, c.claimed = nil, false
 	closed := c.closed
@@ -188,7 +193,7 @@
 
 // exchange sends the request on a connection that was taken for it.
 func (c *connection) exchange(ctx context.Context, r Request) (*Answer, error) {
-	p := &pending{request: r, head: make(chan headResult, 1), read: make(chan bool, 1), written: make(chan error, 1)}
+	p := &pending{request: r, head: make(chan headResult, 1), read: make(chan bool, 1), written: make(chan error, 1), sentAt: c.pool.now()}
 	c.mu.Lock()
 	if c.closed {
 		c.mu.Unlock()
--- a/internal/callers/exchange/exchange_test.go
+++ b/internal/callers/exchange/exchange_test.go
@@ -185,3 +185,47 @@
 	assert.Assert(t, errorx.IsOfType(err, fault.Unreachable), "%v", err)
 	assert.Equal(t, len(pool.endpoints), 0)
 }
+
+// Replays endpoints that forget connections which rested for a while and reset whatever comes next. Guards against requests that
+// go on being lost there.
+func TestForgottenConnectionsAreNotUsedForLong(t *testing.T) {
+	const forgotten, pause = 150 * time.Millisecond, 200 * time.Millisecond
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			socket, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer socket.Close()
+				reader, last := bufio.NewReader(socket), time.Now()
+				for {
+					r, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, r.Body)
+					if time.Since(last) > forgotten {
+						_ = socket.(*net.TCPConn).SetLinger(0)
+						return
+					}
+					_, _ = io.WriteString(socket, strings.ReplaceAll(whole, "ID", r.Header.Get("Id")))
+					last = time.Now()
+				}
+			}()
+		}
+	}()
+	pool := New(timer.New().Now)
+	lost := 0
+	for i := range 10 {
+		if _, _, err := send(t, pool, listener.Addr().String(), fmt.Sprint(i)); err != nil {
+			assert.Assert(t, errorx.IsOfType(err, fault.BrokenAnswer), "%v", err)
+			lost++
+		}
+		time.Sleep(pause)
+	}
+	assert.Equal(t, lost, 1, "of 10 requests")
+}
--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -26,6 +27,9 @@
 	defaultIdle = 30 * time.Second
 	// checkedIdle is how long a connection is kept that a check has opened. It has no answer that names a limit.
 	checkedIdle = 2 * time.Second
+	// leastRest is the idle time up to which connections are always used again. A connection that ends within resetTime of a
+	// request after a longer rest was probably forgotten; the bound that follows doubles every restDoubling.
+	leastRest, resetTime, restDoubling = 100 * time.Millisecond, 30 * time.Millisecond, 3 * time.Second
 	// idleShare is the part of an endpoint's own idle limit after which a connection isn't used again, so that a request
 	// doesn't cross the endpoint's close.
 	idleShare = 0.7
@@ -36,8 +40,9 @@
 )
 
 var (
-	connectionsOpened = metrics.NewCounter("citronglade_endpoint_connections_opened_total")
-	answersDiscarded  = metrics.NewCounter("citronglade_endpoint_answers_discarded_total")
+	connectionsOpened    = metrics.NewCounter("citronglade_endpoint_connections_opened_total")
+	connectionsForgotten = metrics.NewCounter("citronglade_endpoint_connections_forgotten_total")
+	answersDiscarded     = metrics.NewCounter("citronglade_endpoint_answers_discarded_total")
 )
 
 // Request is one request for one endpoint.
@@ -61,6 +66,9 @@
 
 	mu        sync.Mutex
 	endpoints map[place]*shelf
+	// rest bounds how long connections may have been idle, after some were found dead; 0 means that none were.
+	rest   time.Duration
+	restAt unit.Moment // when it was bounded
 }
 
 // place is an endpoint at an address. An address may be used by another endpoint later.
@@ -156,7 +164,9 @@
 	for s != nil && len(s.idle) > 0 {
 		c := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
-		if p.now() < c.usableUntil && c.claim() {
+		now := p.now()
+		if now < c.usableUntil && now.Sub(c.keptAt) <= p.longestRest(now) && c.claim() {
+			c.rested = now.Sub(c.keptAt)
 			return c
 		}
 		// Closing it ends its reader, which gives its place on the shelf back.
@@ -165,6 +175,27 @@
 	return nil
 }
 
+// noteEnd notes a connection that ended as soon as a request was sent on it. Endpoints may forget idle connections without notice;
+// whatever is sent next is lost then, and nobody knows whether it ran.
+func (p *Pool) noteEnd(c *connection, sent *pending) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	if c.rested < leastRest || now.Sub(sent.sentAt) > resetTime {
+		return
+	}
+	p.rest, p.restAt = max(leastRest, min(c.rested, p.longestRest(now))/2), now
+	connectionsForgotten.Inc()
+}
+
+// longestRest is how long a connection may have been idle to be used again. The lock must be held.
+func (p *Pool) longestRest(now unit.Moment) time.Duration {
+	if p.rest == 0 {
+		return defaultIdle
+	}
+	return time.Duration(min(float64(p.rest)*math.Exp2(float64(now.Sub(p.restAt))/float64(restDoubling)), float64(defaultIdle)))
+}
+
 func (p *Pool) reserve(at place, most int) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
