Leave a prompt's own memory out of its admission

Change: the wait that admission looks at is that of a request without tokens of its own. The expected time still counts them.

--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -345,6 +345,18 @@
 	}
 }
 
+// watchedFlight begins an attempt that may be given up; its context ends then.
+func watchedFlight(t *testing.T, h *Handler, now unit.Moment) (context.Context, assign.Choice) {
+	t.Helper()
+	w := &assign.Work{Service: "s", Objective: time.Second}
+	choice, ok := h.assigner.Choose(now, w, nil)
+	assert.Assert(t, ok)
+	flight := h.assigner.Begin(now, w, choice)
+	ctx, cancel := context.WithCancelCause(t.Context())
+	h.watched[flight] = watchedAttempt{"s", cancel}
+	return ctx, choice
+}
+
 // Guards against an attempt that is given up although no further one may be made.
 func TestASilentEndpointIsWaitedForWithoutAnAllowance(t *testing.T) {
 	cases := []struct {
@@ -361,12 +373,7 @@
 			h := newLimitedHandler(t, c.limits, endpoint)
 			now := unit.Moment(time.Second)
 			h.Now = func() unit.Moment { return now }
-			w := &assign.Work{Service: "s", Objective: time.Second}
-			choice, ok := h.assigner.Choose(now, w, nil)
-			assert.Assert(t, ok)
-			flight := h.assigner.Begin(now, w, choice)
-			ctx, cancel := context.WithCancelCause(t.Context())
-			h.watched[flight] = watchedAttempt{"s", cancel}
+			ctx, _ := watchedFlight(t, h, now)
 			h.ledger.Request(now, "s")
 			now = now.Add(10 * time.Second)
 			h.ledger.Request(now, "s")
@@ -382,12 +389,7 @@
 	h := newTestHandler(t, endpoint)
 	now := unit.Moment(time.Second)
 	h.Now = func() unit.Moment { return now }
-	w := &assign.Work{Service: "s", Objective: time.Second}
-	choice, ok := h.assigner.Choose(now, w, nil)
-	assert.Assert(t, ok)
-	flight := h.assigner.Begin(now, w, choice)
-	ctx, cancel := context.WithCancelCause(t.Context())
-	h.watched[flight] = watchedAttempt{"s", cancel}
+	ctx, choice := watchedFlight(t, h, now)
 	assert.NilError(t, endpoint.listener.Close())
 	now = now.Add(300 * time.Millisecond)
 	h.check(t.Context(), assign.Check{Endpoint: choice.Endpoint, Service: "s", Address: choice.Address})
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -240,7 +240,9 @@
 		if r.Draining || slices.Contains(tried, r.ID) {
 			continue
 		}
-		waiting := r.waiting(w, p.pace, p.loads[i]) + r.stalled(now)
+		stalled := r.stalled(now)
+		waiting := r.waiting(w, w.tokens(), p.pace, p.loads[i]) + stalled
+		behind := r.waiting(w, 0, p.pace, p.loads[i]) + stalled
 		supply := a.supply(now, r, w, p, i, waiting)
 		expected := waiting + r.alone(w, p.pace, supply.missing) + supply.fetching
 		if !a.mayBegin(now, r, w, expected) {
@@ -248,7 +250,7 @@
 		}
 		choice.Others++
 		value := a.value(now, r, w, expected, supply) - rankCost*math.Log2(1+float64(p.homes.rank(i)))
-		tier := a.tier(now, r, w, waiting)
+		tier := a.tier(now, r, w, behind)
 		if tier == tierPaused {
 			choice.Paused++
 		}
@@ -257,7 +259,7 @@
 		}
 		best, bestTier = r, tier
 		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
-		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, waiting, supply.missing, value
+		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, behind, supply.missing, value
 		choice.Source, choice.Save, choice.Again, choice.Copied = supply.source, supply.save, supply.again, supply.copied
 	}
 	return choice, best != nil
--- a/internal/routing/assign/replay_test.go
+++ b/internal/routing/assign/replay_test.go
@@ -73,7 +73,9 @@
 	pending []holding.Change // events on their way
 
 	urgent, inTime, refused int
-	refusedCounted          int // of urgent
+	refusedCounted          int                // of urgent
+	sizes                   func() unit.Tokens // of the unshared parts of urgent prompts, 2,890 if nil
+	decided                 func(urgent bool, own unit.Tokens, admitted bool)
 	read, needed            unit.Tokens
 }
 
@@ -259,10 +261,13 @@
 }
 
 func (r *replay) send(urgent bool, subject int, at time.Duration) {
-	own := fmt.Sprint(r.random.Uint64())
+	own, ownTokens := fmt.Sprint(r.random.Uint64()), unit.Tokens(2890)
+	if r.sizes != nil {
+		ownTokens = r.sizes()
+	}
 	w := &Work{
-		Service: "llm", Prompted: true, Model: "m", Prompt: 9190, Output: 10, Objective: 500 * time.Millisecond, Shortest: 500 * time.Millisecond, Patience: 3 * time.Second,
-		Parts: []Part{{ID: fmt.Sprint("f", subject%4), Tokens: 2520}, {ID: fmt.Sprint("s", subject), Tokens: 3780}, {ID: own, Tokens: 2890}},
+		Service: "llm", Prompted: true, Model: "m", Prompt: 6300 + ownTokens, Output: 10, Objective: 500 * time.Millisecond, Shortest: 500 * time.Millisecond, Patience: 3 * time.Second,
+		Parts: []Part{{ID: fmt.Sprint("f", subject%4), Tokens: 2520}, {ID: fmt.Sprint("s", subject), Tokens: 3780}, {ID: own, Tokens: ownTokens}},
 	}
 	if !urgent {
 		w.Prompt, w.Output, w.Objective = 826, 150, 800*time.Millisecond
@@ -274,6 +279,9 @@
 		r.urgent++
 	}
 	e, choice, ok := r.choose(r, h, w)
+	if r.decided != nil && at > 3*time.Second {
+		r.decided(urgent, ownTokens, ok)
+	}
 	if !ok {
 		r.refused++
 		if counted {
@@ -410,6 +418,42 @@
 	}
 }
 
+// Guards against refusals that fall on large prompts or on one kind of request. The bounds are the installations': the largest tenth,
+// and each kind, is served at least half as often as all.
+func TestRefusalsAreFairToSizesAndKinds(t *testing.T) {
+	const large = 6_500 // a tenth of the sizes below
+	p := pattern{name: "overload", engines: 18, rate: steady(300), length: 10 * time.Second}
+	r := newReplay(p.engines, modelHosts, byAssigner)
+	r.sizes = func() unit.Tokens { return unit.Tokens(500 + r.random.ExpFloat64()*2600) }
+	type tally struct{ asked, admitted int }
+	var all, largest, urgent, others tally
+	r.decided = func(isUrgent bool, own unit.Tokens, admitted bool) {
+		count := func(to *tally) {
+			to.asked++
+			if admitted {
+				to.admitted++
+			}
+		}
+		count(&all)
+		switch {
+		case !isUrgent:
+			count(&others)
+		case own >= large:
+			count(&largest)
+			fallthrough
+		default:
+			count(&urgent)
+		}
+	}
+	r.run(p)
+	share := func(of tally) float64 { return float64(of.admitted) / float64(of.asked) }
+	t.Logf("admitted: all %.2f, urgent %.2f, others %.2f, the largest %.2f of %d", share(all), share(urgent), share(others), share(largest), largest.asked)
+	assert.Assert(t, share(all) < 0.9, "the load is no overload")
+	for _, of := range []tally{largest, urgent, others} {
+		assert.Assert(t, share(of) >= share(all)/2)
+	}
+}
+
 // Guards against all hosts sending to the same idle engines at once, as after new weights were loaded there.
 func TestHostsDoNotRushToIdleEngines(t *testing.T) {
 	r := newReplay(6, modelHosts, byAssigner)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -106,15 +106,15 @@
 	return max(left, 0)
 }
 
-// waiting returns how long a request waits for others at the endpoint.
-func (r *replica) waiting(w *Work, p pace, l Load) time.Duration {
+// waiting returns how long a request that takes so much memory of its own waits for others at the endpoint.
+func (r *replica) waiting(w *Work, own unit.Tokens, p pace, l Load) time.Duration {
 	if r.engine == nil || !w.Prompted {
 		slots := max(r.Slots, 1)
 		// Requests beyond the places wait for one to become free.
 		return time.Duration(float64(r.mean) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
 	reading := p.factor * r.factor * float64(l.Unread) / readRate * float64(time.Millisecond)
-	return time.Duration(reading) + r.waitForMemory(w, p, l) + r.waitForSlot(p, l)
+	return time.Duration(reading) + r.waitForMemory(own, p, l) + r.waitForSlot(p, l)
 }
 
 // alone returns the time until the first byte of an answer that waits for nobody.
@@ -142,8 +142,8 @@
 
 // waitForMemory is the time until enough of the running requests have ended to make room. Their memory is expected to be
 // given back evenly over the mean time of a request.
-func (r *replica) waitForMemory(w *Work, p pace, l Load) time.Duration {
-	short := l.Tokens + w.tokens() - r.engine.Memory
+func (r *replica) waitForMemory(own unit.Tokens, p pace, l Load) time.Duration {
+	short := l.Tokens + own - r.engine.Memory
 	if short <= 0 || l.Tokens <= 0 {
 		return 0
 	}
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -138,7 +138,7 @@
 	Address  string
 	Weights  book.WeightsNumber // of the request's model, 0 if unknown
 	Expected time.Duration      // until the first byte of the answer
-	Waiting  time.Duration      // the part of Expected that other requests at the endpoint cause
+	Waiting  time.Duration      // the part of Expected that other requests cause, whatever the size of this one
 	Missing  unit.Tokens        // prompt tokens that the endpoint is expected to read
 	Value    float64            // expected part of the request's worth
 	Again    unit.Tokens        // shared ones among the missing, expected to be read a second time
