Save what a control host heard last when it stops

What is known of endpoints is saved every 0.7 s, so no control host knew the replica after the restart until it would have reported again, which it never does in that test.

Change: a control host also saves when it stops.

Measured: `TestAStopSavesWhatWasHeardLast` fails without the change (1 endpoint saved, want 2) and passes with it; TestWholePath passes 3 of 3.

--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -232,7 +232,9 @@
 		actors.Add(func() error { return timer.Every(ctx, h.Timer, loop.interval, loop.step) }, stop)
 	}
 	go h.fetchRegistry(ctx)
-	return actors.Run()
+	err := actors.Run()
+	h.save(ctx) // what came since the last interval
+	return err
 }
 
 // fetchRegistry asks another control host for all endpoints, so that a restarted host knows them before they report again.
