--- a/internal/callers/exchange/exchange_test.go
+++ b/internal/callers/exchange/exchange_test.go
@@ -190,6 +190,7 @@
 // go on being lost there.
 func TestForgottenConnectionsAreNotUsedForLong(t *testing.T) {
 	const forgotten, pause = 150 * time.Millisecond, 200 * time.Millisecond
+	clock := timer.NewManual()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
@@ -201,31 +202,33 @@
 			}
 			go func() {
 				defer socket.Close()
-				reader, last := bufio.NewReader(socket), time.Now()
+				reader, last := bufio.NewReader(socket), clock.Now()
 				for {
 					r, err := http.ReadRequest(reader)
 					if err != nil {
 						return
 					}
 					_, _ = io.Copy(io.Discard, r.Body)
-					if time.Since(last) > forgotten {
+					if clock.Now().Sub(last) > forgotten {
 						_ = socket.(*net.TCPConn).SetLinger(0)
 						return
 					}
 					_, _ = io.WriteString(socket, strings.ReplaceAll(whole, "ID", r.Header.Get("Id")))
-					last = time.Now()
+					last = clock.Now()
 				}
 			}()
 		}
 	}()
-	pool := New(timer.New().Now)
+	pool := New(clock.Now)
 	lost := 0
 	for i := range 10 {
 		if _, _, err := send(t, pool, listener.Addr().String(), fmt.Sprint(i)); err != nil {
 			assert.Assert(t, errorx.IsOfType(err, fault.BrokenAnswer), "%v", err)
 			lost++
+		} else {
+			waitForIdle(pool)
 		}
-		time.Sleep(pause)
+		clock.Advance(pause)
 	}
 	assert.Equal(t, lost, 1, "of 10 requests")
 }
