Write the outcome of a request in one place

Cause: streams wrote their `request-ended` line by code of their own, which repeated what other outcomes and refusals log, under partly other names.

Change: one function logs all outcomes; prompts and refusals have the endpoint chosen last and what the choice rested on.

Measured: tests of callers, platform and test pass.

--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -89,7 +89,8 @@
 }
 
 // Send sends a request and waits for the head of its answer. It fails with fault.Unreachable if there is no connection, with
-// fault.Overloaded if all that may be open are in use (in both cases no byte was sent), and with fault.BrokenAnswer if the endpoint may have run the request. When ctx ends, the connection is closed.
+// fault.Overloaded if all that may be open are in use (in both cases no byte was sent), and with fault.BrokenAnswer if the
+// endpoint may have run the request. When ctx ends, the connection is closed.
 func (p *Pool) Send(ctx context.Context, r Request) (*Answer, error) {
 	c, err := p.take(ctx, r)
 	if err != nil {
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -282,7 +282,7 @@
 		}
 	}
 	r.end(flight, choice, assign.EndedWell, nil)
-	r.logStream(choice)
+	r.log("answered", nil)
 	r.measure(unit.OutcomeDone, "")
 	return attemptResult{done: true}
 }
@@ -296,10 +296,3 @@
 	last, lastErr := strconv.ParseUint(r.lastID, 10, 64)
 	return err == nil && lastErr == nil && number <= last
 }
-
-func (r *request) logStream(choice assign.Choice) {
-	r.h.Log.Info("request-ended", "request", string(r.call.ID), "outcome", "answered", "ms", r.h.Now().Sub(r.call.Arrived).Milliseconds(),
-		"first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds(), "expected-ms", choice.Expected.Milliseconds(), "waiting-ms", choice.Waiting.Milliseconds(), "route", r.route.Name,
-		"table-version", uint64(r.table.Version), "endpoint", string(choice.Endpoint), "weights", uint64(choice.Weights),
-		"missing-tokens", int64(choice.Missing), "again-tokens", int64(choice.Again), "source", choice.Source, "save", choice.Save != "", "weighed", choice.Others, "paused", choice.Paused, "load-age-ms", choice.LoadAge.Milliseconds(), "sends", r.sends)
-}
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -147,7 +147,7 @@
 	body     []byte
 	deadline unit.Moment
 
-	weighed   *assign.Choice // the last choice, also one that was refused
+	weighed   *assign.Choice // the last choice, also one that wasn't admitted
 	tried     []unit.EndpointID
 	sends     int
 	arrived   bool // an attempt has reached an endpoint, so that a further one is counted
@@ -389,8 +389,12 @@
 	if len(r.tried) > 0 {
 		attributes = append(attributes, "endpoints", r.tried)
 	}
-	if c := r.weighed; c != nil && outcome == "refused" {
-		attributes = append(attributes, "best", string(c.Endpoint), "expected-ms", c.Expected.Milliseconds(), "waiting-ms", c.Waiting.Milliseconds(),
+	if r.headSent {
+		attributes = append(attributes, "first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds())
+	}
+	if c := r.weighed; c != nil && (r.work.Prompted || outcome == "refused") {
+		attributes = append(attributes, "endpoint", string(c.Endpoint), "expected-ms", c.Expected.Milliseconds(), "waiting-ms", c.Waiting.Milliseconds(),
+			"weights", uint64(c.Weights), "missing-tokens", int64(c.Missing), "again-tokens", int64(c.Again), "source", c.Source, "save", c.Save != "",
 			"weighed", c.Others, "paused", c.Paused, "load-age-ms", c.LoadAge.Milliseconds())
 	}
 	if err != nil {
