--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -5,7 +5,9 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
+	"math"
 	"slices"
 	"time"
 
@@ -18,6 +20,10 @@
 // long isn't taken for a new endpoint.
 const forgetAfter = 2 * time.Minute
 
+// beatStep is the least progress of an endpoint's last report that is news. Two registries that tell each other would otherwise
+// pass the same report to and fro, a little later each time by the way between them.
+const beatStep = 250 * time.Millisecond
+
 // Report is what an endpoint says of itself.
 type Report struct {
 	ID         unit.EndpointID                       `cbor:"1,keyasint"`
@@ -35,16 +41,21 @@
 // Record is an endpoint as known here.
 type Record struct {
 	Report
-	Left bool          `cbor:"20,keyasint,omitempty"` // said that it leaves for good
-	Age  time.Duration `cbor:"21,keyasint,omitempty"` // since its last report, when the record was sent
+	Left  bool          `cbor:"20,keyasint,omitempty"` // said that it leaves for good
+	Age   time.Duration `cbor:"21,keyasint,omitempty"` // since its last report, when the record was sent
+	Index Index         `cbor:"22,keyasint,omitempty"` // in the numbering of the registry that sent the record
 }
 
-// Beat is a repeated report that changes nothing but its time.
+// Index stands for one lifetime of an endpoint in messages of one registry, 1 being the first that it heard of.
+type Index uint32
+
+// Beat is a repeated report that changes nothing but its time. A list of many of them is most of what hosts tell each other, so
+// that it carries no names.
 type Beat struct {
-	ID       unit.EndpointID `cbor:"1,keyasint"`
-	Born     int64           `cbor:"2,keyasint"`
-	Sequence uint64          `cbor:"3,keyasint"`
-	Age      time.Duration   `cbor:"4,keyasint"`
+	_        struct{} `cbor:",toarray"`
+	Index    Index    // in the numbering of the sender
+	Sequence uint64
+	Age      uint32 // in milliseconds
 }
 
 // Update is what changed in a registry after the change with the number that the reader knows.
@@ -64,21 +75,28 @@
 // entry is the state of one endpoint id.
 type entry struct {
 	Endpoint
-	changed uint64 // number of the last change of its content
-	beat    uint64 // number of the last report
+	index   Index
+	changed uint64        // number of the last change of its content
+	beat    uint64        // number of the last report
+	place   *list.Element // in Registry.order
 }
 
 // Registry is a deterministic state machine, not safe for concurrent use.
 type Registry struct {
 	entries   map[unit.EndpointID]*entry
 	byAddress map[string]unit.EndpointID // the newest lifetime at each address
+	byIndex   map[Index]*entry
+	order     *list.List // of *entry, by the number of their last report
+	last      Index      // the highest index that was given
 	number    uint64
 	content   uint64 // number of the last change of an entry's content
 }
 
 // New returns a registry that knows no endpoint.
 func New() *Registry {
-	return &Registry{entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}}
+	return &Registry{
+		entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}, byIndex: map[Index]*entry{}, order: list.New(),
+	}
 }
 
 // Hear takes a report and says whether it is news: false for one that a newer report or lifetime has overtaken.
@@ -103,19 +121,27 @@
 	r.merge(now, record)
 }
 
-// Merge takes what another registry knows.
-func (r *Registry) Merge(now unit.Moment, update Update) {
+// Merge takes what another registry knows. The numbering is that of the sender. It returns the endpoints that only reported again.
+func (r *Registry) Merge(now unit.Moment, update Update, sender *Numbering) []unit.EndpointID {
 	for _, record := range update.Records {
 		r.merge(now, record)
+		sender.note(record)
 	}
+	var heard []unit.EndpointID
 	for _, beat := range update.Beats {
-		known, ok := r.entries[beat.ID]
-		if !ok || known.Born != beat.Born || known.Left {
+		lifetime, ok := sender.known[beat.Index]
+		if !ok {
+			continue
+		}
+		known, ok := r.entries[lifetime.id]
+		if !ok || known.Born != lifetime.born || known.Left {
 			continue
 		}
 		known.Sequence = max(known.Sequence, beat.Sequence)
-		r.heard(known, now.Add(-beat.Age))
+		r.heard(known, now.Add(-time.Duration(beat.Age)*time.Millisecond))
+		heard = append(heard, lifetime.id)
 	}
+	return heard
 }
 
 // merge applies one record by the rules of the package comment.
@@ -138,8 +164,13 @@
 			r.contentChanged(other)
 		}
 	}
-	e := &entry{Endpoint: Endpoint{Report: record.Report, Left: record.Left, HeardAt: heardAt}}
-	r.entries[record.ID] = e
+	if ok {
+		r.forget(known)
+	}
+	r.last++
+	e := &entry{Endpoint: Endpoint{Report: record.Report, Left: record.Left, HeardAt: heardAt}, index: r.last}
+	e.place = r.order.PushBack(e)
+	r.entries[record.ID], r.byIndex[e.index] = e, e
 	if record.Address != "" {
 		r.byAddress[record.Address] = record.ID
 	}
@@ -183,32 +214,68 @@
 func (r *Registry) contentChanged(e *entry) {
 	r.number++
 	e.changed, e.beat, r.content = r.number, r.number, r.number
+	r.order.MoveToBack(e.place)
 }
 
 func (r *Registry) heard(e *entry, at unit.Moment) {
-	if at <= e.HeardAt {
+	if at < e.HeardAt.Add(beatStep) {
 		return
 	}
 	e.HeardAt = at
 	r.number++
 	e.beat = r.number
+	r.order.MoveToBack(e.place)
 }
 
-// Since returns what changed after the change with that number; 0 asks for everything.
+// Since returns what changed after the change with that number, the newest first; 0 asks for everything.
 func (r *Registry) Since(now unit.Moment, number uint64) Update {
 	update := Update{Number: r.number}
-	for _, e := range r.sorted() {
-		age := now.Sub(e.HeardAt)
+	all := number > r.number
+	for element := r.order.Back(); element != nil; element = element.Prev() {
+		e, _ := element.Value.(*entry)
+		age := max(now.Sub(e.HeardAt), 0)
 		switch {
-		case e.changed > number || number > r.number:
-			update.Records = append(update.Records, Record{Report: e.Report, Left: e.Left, Age: age})
+		case e.changed > number || all:
+			update.Records = append(update.Records, Record{Report: e.Report, Left: e.Left, Age: age, Index: e.index})
 		case e.beat > number:
-			update.Beats = append(update.Beats, Beat{ID: e.ID, Born: e.Born, Sequence: e.Sequence, Age: age})
+			update.Beats = append(update.Beats, Beat{Index: e.index, Sequence: e.Sequence, Age: uint32(min(age.Milliseconds(), math.MaxUint32))}) //nolint:gosec // bounded on both sides
+		default:
+			return update
 		}
 	}
 	return update
 }
 
+// Index returns the index of an endpoint's present lifetime, 0 if the endpoint isn't known.
+func (r *Registry) Index(id unit.EndpointID) Index {
+	if e, ok := r.entries[id]; ok {
+		return e.index
+	}
+	return 0
+}
+
+// IDs returns the endpoints with those indexes, as far as they are known.
+func (r *Registry) IDs(indexes []Index) []unit.EndpointID {
+	var ids []unit.EndpointID
+	for _, index := range indexes {
+		if e, ok := r.byIndex[index]; ok {
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
+// Indexes returns the indexes of endpoints, as far as they are known.
+func (r *Registry) Indexes(ids []unit.EndpointID) []Index {
+	var indexes []Index
+	for _, id := range ids {
+		if index := r.Index(id); index != 0 {
+			indexes = append(indexes, index)
+		}
+	}
+	return indexes
+}
+
 // LearnWeights notes weights that an endpoint told of outside its reports. Numbers only grow within a lifetime. It returns
 // whether that is news.
 func (r *Registry) LearnWeights(id unit.EndpointID, born int64, weights map[unit.ModelName]book.WeightsNumber) bool {
@@ -268,6 +335,7 @@
 	for id, e := range r.entries {
 		if now.Sub(e.HeardAt) > forgetAfter {
 			delete(r.entries, id)
+			r.forget(e)
 			if r.byAddress[e.Address] == id {
 				delete(r.byAddress, e.Address)
 			}
@@ -275,6 +343,12 @@
 	}
 }
 
+// forget drops the index of an entry that is removed or replaced.
+func (r *Registry) forget(e *entry) {
+	delete(r.byIndex, e.index)
+	r.order.Remove(e.place)
+}
+
 func (r *Registry) sorted() []*entry {
 	return slices.SortedFunc(maps.Values(r.entries), func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/endpoints/registry/registry_test.go
+++ b/internal/endpoints/registry/registry_test.go
@@ -87,8 +87,8 @@
 			}
 		}
 		fromFirst, fromSecond := first.Since(0, 0), second.Since(0, 0)
-		first.Merge(0, fromSecond)
-		second.Merge(0, fromFirst)
+		first.Merge(0, fromSecond, &Numbering{})
+		second.Merge(0, fromFirst, &Numbering{})
 		a, b := first.Present(), second.Present()
 		assert.Equal(t, len(a), len(b))
 		for i := range a {
@@ -101,17 +101,17 @@
 
 // Guards against a reader that misses a change or that gets the whole content with each beat.
 func TestUpdatesCarryWhatChanged(t *testing.T) {
-	source, reader := New(), New()
+	source, reader, numbering := New(), New(), &Numbering{}
 	source.Hear(0, report("a", 1, 1))
 	first := source.Since(0, 0)
-	reader.Merge(0, first)
+	reader.Merge(0, first, numbering)
 	assert.Equal(t, len(first.Records), 1)
 	later := unit.Moment(time.Second)
 	source.Hear(later, report("a", 1, 2))
 	beat := source.Since(later, first.Number)
 	assert.Equal(t, len(beat.Records), 0)
 	assert.Equal(t, len(beat.Beats), 1)
-	reader.Merge(later, beat)
+	reader.Merge(later, beat, numbering)
 	heard, _ := reader.Endpoint("a")
 	assert.Equal(t, heard.HeardAt, later)
 	source.Hear(later, draining(report("a", 1, 3)))
@@ -119,3 +119,52 @@
 	assert.Equal(t, len(change.Records), 1)
 	assert.Assert(t, change.Records[0].Draining)
 }
+
+// Guards against two hosts that pass the same report to and fro for good, a little later each time. With hundreds of endpoints that
+// is most of what hosts tell each other.
+func TestTwoRegistriesSettle(t *testing.T) {
+	const way = time.Millisecond
+	hosts := []*Registry{New(), New()}
+	numberings := []*Numbering{{}, {}}
+	read := []uint64{0, 0}
+	told := 0
+	hosts[0].Hear(0, report("a", 1, 1))
+	for round := range 50 {
+		now := unit.Moment(round) * unit.Moment(100*time.Millisecond)
+		if round%12 == 11 {
+			hosts[0].Hear(now, report("a", 1, uint64(round)))
+		}
+		for from, to := range []int{1, 0} {
+			update := hosts[from].Since(now, read[from])
+			read[from] = update.Number
+			told += len(update.Beats) + len(update.Records)
+			hosts[to].Merge(now.Add(way), update, numberings[to])
+		}
+	}
+	// The first report is a record in both directions, and each of the four others goes there and back once.
+	assert.Assert(t, told <= 10, "%d messages about one endpoint that reported five times", told)
+	heard, _ := hosts[1].Endpoint("a")
+	assert.Equal(t, heard.Sequence, uint64(47))
+}
+
+// Guards against a beat of an earlier lifetime that counts for the next one, and against an index that means another endpoint.
+func TestIndexesNameLifetimes(t *testing.T) {
+	source, reader, numbering := New(), New(), &Numbering{}
+	source.Hear(0, report("a", 1, 1))
+	first := source.Since(0, 0)
+	reader.Merge(0, first, numbering)
+	index := source.Index("a")
+	source.Hear(0, report("a", 2, 1))
+	reader.Merge(0, source.Since(0, first.Number), numbering)
+	assert.Assert(t, source.Index("a") != index)
+	assert.Equal(t, len(source.IDs([]Index{index})), 0)
+	later := unit.Moment(time.Second)
+	reader.Merge(later, Update{Number: 9, Beats: []Beat{{Index: index, Sequence: 7}}}, numbering)
+	heard, _ := reader.Endpoint("a")
+	assert.Equal(t, heard.HeardAt, unit.Moment(0))
+	assert.Equal(t, heard.Sequence, uint64(1))
+	numbering.Prune(reader)
+	_, known := numbering.ID(index)
+	assert.Assert(t, !known)
+	assert.DeepEqual(t, numbering.IDs(source.Indexes([]unit.EndpointID{"a"})), []unit.EndpointID{"a"})
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/allowance"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/tally"
 )
 
 const (
@@ -39,8 +40,14 @@
 	sweepInterval = 50 * time.Millisecond
 	// pruneInterval is the time between two prunings of idle connections.
 	pruneInterval = time.Second
+	// forgetInterval is the time between two prunings of the endpoints.
+	forgetInterval = 10 * time.Second
 	// meteredCustomers is the number of customers with histograms of their own.
 	meteredCustomers = 200
+	// nearAfter is how long a control host of the own data centre that didn't answer isn't preferred.
+	nearAfter = 5 * time.Second
+	// keptTold is the number of the last loads told of which the sum of all loads may hold one.
+	keptTold = 8
 	// connectionShare is the part of an endpoint's connections that all entry hosts together use.
 	connectionShare = 0.9
 )
@@ -67,21 +74,42 @@
 	table   atomic.Pointer[table.Table]
 	entries atomic.Int64 // entry hosts, as a control host counts them
 
-	mu       sync.Mutex
-	registry *registry.Registry
-	control  []unit.HostName // as a control host told
-	hub      unit.HostName   // the control host that is asked
-	next     int             // which one is asked after it
-	epoch    unit.Incarnation
-	number   uint64
-	held     uint64 // number of the last change of cached parts
-	inTouch  bool
-	served   atomic.Bool // an endpoint has been known
+	mu        sync.Mutex
+	registry  *registry.Registry
+	numbering *registry.Numbering // of the control host that is asked
+	control   []hub.ControlHost   // as a control host told
+	hub       unit.HostName       // the control host that is asked
+	next      int                 // which one is asked after it
+	lostAt    map[unit.HostName]unit.Moment
+	epoch     unit.Incarnation
+	number    uint64
+	held      uint64 // number of the last change of cached parts
+	inTouch   bool
+	served    atomic.Bool // an endpoint has been known
+
+	told    []toldLoad // the last ones, used by sync only
+	applied applied    // used by sync only
+}
+
+// toldLoad is what this host has told of its own load.
+type toldLoad struct {
+	number uint64
+	load   map[unit.EndpointID]assign.Load
+}
+
+// applied says what the assigner's endpoints were made of.
+type applied struct {
+	content            uint64
+	table              table.Version
+	updating, upcoming []unit.EndpointID
 }
 
 // New returns a gateway that knows nothing yet; Run makes it learn.
 func New(d Dependencies) *Gateway {
-	g := &Gateway{Dependencies: d, registry: registry.New(), pool: exchange.New(d.Timer.Now)}
+	g := &Gateway{
+		Dependencies: d, registry: registry.New(), numbering: &registry.Numbering{}, pool: exchange.New(d.Timer.Now),
+		lostAt: map[unit.HostName]unit.Moment{},
+	}
 	g.next = int(seedOf(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.Wire, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
@@ -122,6 +150,7 @@
 		{syncInterval, g.sync},
 		{sweepInterval, g.handler.Sweep},
 		{pruneInterval, func(context.Context) { g.pool.Prune() }},
+		{forgetInterval, g.forget},
 	} {
 		actors.Add(func() error { return timer.Every(ctx, g.Timer, loop.interval, loop.step) }, stop)
 	}
@@ -160,25 +189,62 @@
 
 // question returns the control host to ask and what to ask it.
 func (g *Gateway) question() (unit.HostName, hub.SyncRequest) {
+	now := g.Timer.Now()
 	var request hub.SyncRequest
-	g.handler.With(func(a *assign.Assigner, _ *allowance.Ledger) { request.Load = a.Own(g.Timer.Now()) })
+	var own map[unit.EndpointID]assign.Load
+	g.handler.With(func(a *assign.Assigner, _ *allowance.Ledger) {
+		own, request.Shared = a.Own(now), a.Shared()
+	})
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.hub == "" {
+	g.hub = g.preferred(now)
+	indexes := g.numbering.Indexes()
+	load := tally.Tally{}
+	for id, l := range own {
+		if index, ok := indexes[id]; ok {
+			load[index] = l
+		}
+	}
+	number := uint64(1)
+	if len(g.told) > 0 {
+		number = g.told[len(g.told)-1].number + 1
+	}
+	g.told = append(g.told[max(0, len(g.told)+1-keptTold):], toldLoad{number, own})
+	request.Epoch, request.Number, request.Holding, request.Load, request.LoadNumber = g.epoch, g.number, g.held, load.Pack(), number
+	return g.hub, request
+}
+
+// preferred returns the control host that is asked next: one of the own data centre where one is heard, as what goes to another
+// data centre costs more and takes longer. Where none is known the hosts go round. The lock must be held, as for known.
+func (g *Gateway) preferred(now unit.Moment) unit.HostName {
+	var near []unit.HostName
+	for _, host := range g.control {
+		lostAt, lost := g.lostAt[host.Name]
+		if host.DataCentre == g.Assign.DataCentre && (!lost || now.Sub(lostAt) > nearAfter) {
+			near = append(near, host.Name)
+		}
+	}
+	switch {
+	case g.hub != "" && (len(near) == 0 || slices.Contains(near, g.hub)):
+		return g.hub
+	case len(near) > 0:
+		return near[g.next%len(near)]
+	default:
 		known := g.known()
-		g.hub = known[g.next%len(known)]
 		g.next++
+		return known[(g.next-1)%len(known)]
 	}
-	request.Epoch, request.Number, request.Holding = g.epoch, g.number, g.held
-	return g.hub, request
 }
 
-// known returns the control hosts that may be asked: the seeds and those that a control host told of. The lock must be held.
+// known returns the control hosts that may be asked: the seeds and those that a control host told of.
 func (g *Gateway) known() []unit.HostName {
-	known := slices.Concat(g.Seeds(), g.control)
+	known := slices.Clone(g.Seeds())
+	for _, host := range g.control {
+		known = append(known, host.Name)
+	}
 	slices.Sort(known)
 	return slices.Compact(known)
 }
@@ -190,6 +256,7 @@
 	if g.hub == name {
 		g.hub = ""
 	}
+	g.lostAt[name] = g.Timer.Now()
 	if g.inTouch {
 		g.inTouch = false
 		g.Log.Warn("control-host-lost", "control-host", string(name), "cause", cause)
@@ -209,7 +276,11 @@
 	if len(answer.Control) > 0 {
 		g.control = answer.Control
 	}
-	g.registry.Merge(now, answer.Update)
+	if answer.Epoch != g.epoch {
+		g.numbering = &registry.Numbering{}
+		g.told = nil
+	}
+	heard := g.registry.Merge(now, answer.Update, g.numbering)
 	g.epoch, g.number, g.held = answer.Epoch, answer.Update.Number, answer.Holding.Number
 	for _, record := range answer.Update.Records {
 		g.Log.Info("endpoint-known", "endpoint", string(record.ID), "service", string(record.Service), "draining", record.Draining,
@@ -218,13 +289,70 @@
 			g.pool.Forget(record.ID)
 		}
 	}
-	present := g.registry.Present()
-	g.registry.Prune(now)
+	v := g.view(heard, answer)
 	g.mu.Unlock()
-	g.apply(now, present, answer)
+	g.apply(now, v, answer)
+}
+
+// view is what one answer says of the endpoints.
+type view struct {
+	changed            bool
+	present            []registry.Endpoint // if changed, all of them, otherwise those that reported again
+	updating, upcoming []unit.EndpointID
+	others             map[unit.EndpointID]assign.Load // nil if nothing newer was told
+}
+
+// view resolves the indexes of an answer. The lock must be held.
+func (g *Gateway) view(heard []unit.EndpointID, answer *hub.SyncAnswer) view {
+	v := view{updating: g.numbering.IDs(answer.Updating), upcoming: g.numbering.IDs(answer.Upcoming), others: g.others(answer)}
+	next := applied{content: g.registry.ContentNumber(), updating: v.updating, upcoming: v.upcoming}
+	if t := g.table.Load(); t != nil {
+		next.table = t.Version
+	}
+	v.changed = next.content != g.applied.content || next.table != g.applied.table || !slices.Equal(next.updating, g.applied.updating) ||
+		!slices.Equal(next.upcoming, g.applied.upcoming)
+	if v.changed {
+		g.applied, v.present = next, g.registry.Present()
+		return v
+	}
+	for _, id := range heard {
+		if e, ok := g.registry.Endpoint(id); ok {
+			v.present = append(v.present, e)
+		}
+	}
+	return v
 }
 
-func (g *Gateway) apply(now unit.Moment, present []registry.Endpoint, answer *hub.SyncAnswer) {
+// others returns what other entry hosts have in hand: the sum of all less what this host told of it.
+func (g *Gateway) others(answer *hub.SyncAnswer) map[unit.EndpointID]assign.Load {
+	if !answer.HasLoads {
+		return nil
+	}
+	total, err := tally.Unpack(answer.Loads)
+	if err != nil {
+		g.Log.Error("loads-not-taken", "cause", err.Error())
+		return nil
+	}
+	others := make(map[unit.EndpointID]assign.Load, len(total))
+	for index, load := range total {
+		if id, ok := g.numbering.ID(index); ok {
+			others[id] = load
+		}
+	}
+	for _, told := range g.told {
+		if told.number != answer.Included {
+			continue
+		}
+		for id, load := range told.load {
+			if other, ok := others[id]; ok {
+				others[id] = other.Sub(load)
+			}
+		}
+	}
+	return others
+}
+
+func (g *Gateway) apply(now unit.Moment, v view, answer *hub.SyncAnswer) {
 	t := g.table.Load()
 	g.handler.With(func(a *assign.Assigner, l *allowance.Ledger) {
 		l.SetHosts(answer.EntryHosts)
@@ -233,13 +361,19 @@
 			a.SetStore(t.Store())
 		}
 		a.SetNewest(now, answer.Weights)
-		a.SetEndpoints(present, func(name table.ServiceName) (*table.Service, bool) {
-			if t == nil {
-				return nil, false
-			}
-			return t.Service(name)
-		}, answer.Updating, answer.Upcoming)
-		a.SetLoads(now, answer.Others)
+		if v.changed {
+			a.SetEndpoints(v.present, func(name table.ServiceName) (*table.Service, bool) {
+				if t == nil {
+					return nil, false
+				}
+				return t.Service(name)
+			}, v.updating, v.upcoming)
+		} else {
+			a.SetHeard(v.present)
+		}
+		if v.others != nil {
+			a.SetLoads(now.Add(-answer.LoadsAge), v.others)
+		}
 		a.SetHoldings(now, answer.Holding)
 		if a.Serves() {
 			g.served.Store(true)
@@ -247,6 +381,14 @@
 	})
 }
 
+// forget drops endpoints of which nothing has been heard for long.
+func (g *Gateway) forget(context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.registry.Prune(g.Timer.Now())
+	g.numbering.Prune(g.registry)
+}
+
 func (g *Gateway) takeTable(encoded []byte) {
 	if len(encoded) == 0 {
 		return
--- a/internal/host/hub/feeds.go
+++ b/internal/host/hub/feeds.go
@@ -11,6 +11,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
 const (
@@ -38,6 +39,9 @@
 func (h *Hub) follow(ctx context.Context) {
 	h.mu.Lock()
 	h.forgetSilent(h.Timer.Now())
+	for _, change := range h.shared.Release() {
+		h.publish(change)
+	}
 	h.mu.Unlock()
 	wanted := map[feedPlace]bool{}
 	for _, place := range h.feedPlaces() {
@@ -133,18 +137,19 @@
 			timer.Sleep(ctx, feedRetry)
 			continue
 		}
-		change := holding.Change{Place: place.place, Cleared: since == 0 || feed.Epoch != epoch || feed.Lost || failures >= feedFailures}
+		cleared := since == 0 || feed.Epoch != epoch || feed.Lost || failures >= feedFailures
 		failures = 0
-		if change.Cleared {
+		if cleared {
 			h.Log.Info("events-followed", "place", string(place.place), "epoch", feed.Epoch, "since", since, "next", feed.Next,
 				"events", len(feed.Events), "lost", feed.Lost)
 		}
 		since, epoch = feed.Next, feed.Epoch
-		h.held(change, feed.Events)
+		h.held(place.place, cleared, feed.Events)
 		timer.Sleep(ctx, feedPause)
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.shared.Forget(place.place)
 	h.own.Forget(place.place)
 	h.settle(place.place)
 }
@@ -155,25 +160,24 @@
 	if h.own.Known(place.place) {
 		h.Log.Warn("events-lost", "place", string(place.place), "cause", err.Error())
 	}
+	h.shared.Forget(place.place)
 	h.own.Forget(place.place)
 	h.settle(place.place)
 }
 
 // held applies events in their order.
-func (h *Hub) held(change holding.Change, events []FeedEvent) {
-	last := map[holding.Part]bool{} // whether it was removed
+func (h *Hub) held(place holding.Place, cleared bool, events []FeedEvent) {
+	passed := make([]sharing.Event, 0, len(events))
 	for _, event := range events {
-		last[holding.NewPart(event.CacheKey, event.Part)] = event.Removed
-	}
-	for part, removed := range last {
-		if removed {
-			change.Removed = append(change.Removed, part)
-		} else {
-			change.Added = append(change.Added, part)
-		}
+		passed = append(passed, sharing.Event{Removed: event.Removed, Name: sharing.NewName(event.Part), Part: holding.NewPart(event.CacheKey, event.Part)})
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.publish(h.shared.Pass(place, cleared, passed))
+}
+
+// publish applies a change at a place that this host follows. The lock must be held.
+func (h *Hub) publish(change holding.Change) {
 	h.own.Apply([]holding.Change{change})
 	h.apply(h.Name, change)
 }
@@ -186,8 +190,7 @@
 		h.mirrors[from] = mirror
 	}
 	before := mirror.Places()
-	mirror.Merge(update)
-	for _, change := range update.Changes {
+	for _, change := range mirror.Merge(update) {
 		h.apply(from, change)
 	}
 	if update.Whole {
--- a/internal/host/hub/feeds_test.go
+++ b/internal/host/hub/feeds_test.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
 func newTestHub(t *testing.T) *Hub {
@@ -67,11 +68,12 @@
 	other := holding.New()
 	other.Apply([]holding.Change{{Place: "p", Cleared: true, Added: []holding.Part{1}}})
 	h.mergeHoldings("10.0.0.2", other.Since(0))
-	h.held(holding.Change{Place: "p", Cleared: true}, []FeedEvent{{CacheKey: "k", Part: "x"}})
+	h.shared.Hear(0, []sharing.Name{sharing.NewName("x"), sharing.NewName("y")})
+	h.held("p", true, []FeedEvent{{CacheKey: "k", Part: "x"}})
 	read := other.Since(0).Number
 	other.Forget("p")
 	h.mergeHoldings("10.0.0.2", other.Since(read))
-	h.held(holding.Change{Place: "p"}, []FeedEvent{{CacheKey: "k", Part: "y"}})
+	h.held("p", false, []FeedEvent{{CacheKey: "k", Part: "y"}})
 	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "x")))
 	assert.Assert(t, h.holdings.Holds("p", holding.NewPart("k", "y")))
 }
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -10,6 +10,8 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
+	"github.com/citronglade/citronglade/internal/routing/tally"
 )
 
 // Handle answers one message of another host. It fails with fault.NotFound for a kind that isn't a hub's.
@@ -28,7 +30,7 @@
 		}
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		h.registry.Merge(h.Timer.Now(), update)
+		h.registry.Merge(h.Timer.Now(), update, &registry.Numbering{})
 		return nil, nil
 	case kind.HubFetch:
 		h.mu.Lock()
@@ -75,42 +77,62 @@
 	if err != nil {
 		return nil, err
 	}
+	load, err := tally.Unpack(request.Load)
+	if err != nil {
+		return nil, err
+	}
 	control := h.controlHosts()
 	now := h.Timer.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.entries[from] = entryState{load: request.Load, at: now}
-	answer := SyncAnswer{
-		Age: now.Sub(m.Status().HeardAt), Weights: h.weights, Epoch: h.Incarnation, Others: h.loadsWithout(from, now),
-		EntryHosts: h.entryHosts(now), Control: control,
-	}
-	answer.Updating, answer.Upcoming = h.updating(now)
+	answer := h.answer(from, now, request, load)
+	answer.Age, answer.Control = now.Sub(m.Status().HeardAt), h.located(now, control)
+	return codec.Marshal(answer)
+}
+
+// answer takes what an entry host told and returns what it lacks. The lock must be held, as for the methods below.
+func (h *Hub) answer(from unit.HostName, now unit.Moment, request SyncRequest, load tally.Tally) SyncAnswer {
+	entry := h.entries[from]
+	entry.at, entry.load, entry.number = now, load, request.LoadNumber
 	since, held := request.Number, request.Holding
 	if request.Epoch != h.Incarnation {
+		// The indexes are those of another hub.
 		since, held = 0, ^uint64(0)
+		entry.load, entry.number, entry.included = nil, 0, 0
+	}
+	h.name(now, request.Shared)
+	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.Since(held)}
+	if h.loads.at > entry.toldAt && now.Sub(entry.toldAt) >= pauseAfter(len(h.loads.packed)) {
+		answer.Loads, answer.LoadsAge, answer.Included, answer.HasLoads = h.loads.packed, now.Sub(h.loads.at), entry.included, true
+		entry.toldAt = now
 	}
-	answer.Update = h.registry.Since(now, since)
-	answer.Holding = h.holdings.Since(held)
+	h.entries[from] = entry
+	answer.EntryHosts = h.entryHosts(now)
+	answer.Updating, answer.Upcoming = h.updating(now)
 	if h.page.Version > request.TableVersion {
 		answer.Table = h.page.Table
 	}
-	return codec.Marshal(answer)
+	return answer
 }
 
-// loadsWithout returns what all entry hosts but one have in hand. The lock must be held, as for the methods below.
-func (h *Hub) loadsWithout(from unit.HostName, now unit.Moment) Loads {
-	total := Loads{}
-	for name, entry := range h.entries {
-		if name != from && now.Sub(entry.at) < forgottenAfter {
-			total.add(entry.load)
-		}
-	}
-	for _, other := range h.others {
-		if now.Sub(other.at) < forgottenAfter {
-			total.add(other.Loads)
+// located returns control hosts with the data centres of those that are heard.
+func (h *Hub) located(now unit.Moment, names []unit.HostName) []ControlHost {
+	located := make([]ControlHost, 0, len(names))
+	for _, name := range names {
+		host := ControlHost{Name: name}
+		if name == h.Name {
+			host.DataCentre = h.DataCentre
+		} else if other, ok := h.others[name]; ok && now.Sub(other.at) < forgottenAfter {
+			host.DataCentre = other.DataCentre
 		}
+		located = append(located, host)
 	}
-	return total
+	return located
+}
+
+// name takes names of shared parts from an entry host.
+func (h *Hub) name(now unit.Moment, names []sharing.Name) {
+	h.naming = append(h.naming, h.shared.Hear(now, names)...)
 }
 
 func (h *Hub) entryHosts(now unit.Moment) int {
@@ -134,13 +156,13 @@
 }
 
 // updating returns the replicas whose weights are being changed and those that are next, as the leader told.
-func (h *Hub) updating(now unit.Moment) (current, next []unit.EndpointID) {
+func (h *Hub) updating(now unit.Moment) (current, next []registry.Index) {
 	if h.leads {
-		return h.planner.Updating(), h.planner.Upcoming()
+		return h.registry.Indexes(h.planner.Updating()), h.registry.Indexes(h.planner.Upcoming())
 	}
 	for _, other := range h.others {
 		if other.Leader && now.Sub(other.at) < forgottenAfter {
-			return other.Updating, other.Upcoming
+			return h.registry.Indexes(other.numbering.IDs(other.Updating)), h.registry.Indexes(other.numbering.IDs(other.Upcoming))
 		}
 	}
 	return nil, nil
@@ -156,14 +178,31 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	known := h.others[from]
-	if known.Epoch != state.Epoch {
+	if known.Epoch != state.Epoch || known.numbering == nil {
 		delete(h.mirrors, from)
+		known = otherState{numbering: &registry.Numbering{}}
 		h.Log.Info("control-host-heard", "control-host", string(from), "epoch", uint64(state.Epoch))
 	}
-	h.registry.Merge(now, state.Update)
-	h.mergeHoldings(from, state.Holding)
-	heard := otherState{at: now, readRegistry: state.Update.Number, read: state.Holding.Number}
-	state.Update, state.Holding = registry.Update{}, holding.Update{}
+	told, err := tally.Unpack(state.Loads)
+	if err != nil {
+		return err
+	}
+	heard := otherState{at: now, numbering: known.numbering, readRegistry: known.readRegistry, read: known.read, loads: tally.Tally{}}
+	if state.RegistryAfter <= known.readRegistry && state.Update.Number >= known.readRegistry {
+		h.registry.Merge(now, state.Update, known.numbering)
+		heard.readRegistry = state.Update.Number
+	}
+	if state.Holding.Whole || state.HoldingAfter <= known.read && state.Holding.Number >= known.read {
+		h.mergeHoldings(from, state.Holding)
+		heard.read = state.Holding.Number
+	}
+	h.shared.Hear(now, state.Shared)
+	for index, load := range told {
+		if id, ok := known.numbering.ID(index); ok {
+			heard.loads[h.registry.Index(id)] = load
+		}
+	}
+	state.Update, state.Holding, state.Loads, state.Shared = registry.Update{}, holding.Update{}, nil, nil
 	heard.State = state
 	h.others[from] = heard
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -27,6 +27,8 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
+	"github.com/citronglade/citronglade/internal/routing/tally"
 )
 
 const (
@@ -36,6 +38,8 @@
 	groupTick      = 25 * time.Millisecond
 	groupHeartbeat = 80 * time.Millisecond
 	groupElection  = 450 * time.Millisecond
+	// loadsInterval is the time between two sums of the loads.
+	loadsInterval = 100 * time.Millisecond
 	// stateInterval is the time between two messages to the other control hosts.
 	stateInterval = 100 * time.Millisecond
 	// planInterval is the time between two looks at the voters.
@@ -53,11 +57,15 @@
 	confirmPause = 20 * time.Millisecond
 	// pruneInterval is the time between two prunings of the registry.
 	pruneInterval = 10 * time.Second
+	// loadsBudget bounds what an entry host is told of loads, in bytes a second: about a third of the 28 KB/s that a host may
+	// spend on control.
+	loadsBudget = 10_000
 )
 
 // Dependencies are what New needs.
 type Dependencies struct {
 	Name        unit.HostName
+	DataCentre  unit.DataCentre
 	Incarnation unit.Incarnation
 	DataFolder  string
 	// Seeds are control hosts to begin with; they may change.
@@ -97,6 +105,9 @@
 	holdings *holding.Map                   // at all places
 	mirrors  map[unit.HostName]*holding.Map // what the other control hosts follow
 	owners   map[holding.Place]unit.HostName
+	shared   *sharing.Filter
+	naming   []sharing.Name // shared parts of which the other control hosts aren't told yet
+	loads    loads
 	store    string // address of the table's store
 	storeOf  table.Version
 	saved    uint64 // number of the registry's content that was saved last
@@ -105,16 +116,28 @@
 
 // entryState is what an entry host told last.
 type entryState struct {
-	load Loads
-	at   unit.Moment
+	load     tally.Tally
+	number   uint64 // of load
+	included uint64 // number of the load that is part of loads
+	toldAt   unit.Moment
+	at       unit.Moment
+}
+
+// loads is what all entry hosts together have in hand, by the indexes of the registry. It is worked out once for all readers.
+type loads struct {
+	total  tally.Tally
+	packed []byte
+	at     unit.Moment
 }
 
 // otherState is what another control host told last.
 type otherState struct {
 	State
 	at           unit.Moment
-	readRegistry uint64 // number of its last change of endpoints that was read here
-	read         uint64 // number of its last change of cached parts that was read here
+	numbering    *registry.Numbering
+	loads        tally.Tally // by the indexes of the registry here
+	readRegistry uint64      // number of its last change of endpoints that was read here
+	read         uint64      // number of its last change of cached parts that was read here
 }
 
 // New returns a hub that Run starts.
@@ -124,6 +147,7 @@
 		entries: map[unit.HostName]entryState{}, others: map[unit.HostName]otherState{}, planner: upgrade.New(d.LeaseWait),
 		own: holding.New(), holdings: holding.New(), mirrors: map[unit.HostName]*holding.Map{},
 		owners: map[holding.Place]unit.HostName{}, feeds: map[feedPlace]context.CancelFunc{},
+		shared: sharing.New(),
 	}
 	h.leaders = leader.New(d.Call, d.Seeds())
 	h.recall = recall.New(d.DataFolder)
@@ -145,7 +169,7 @@
 		// The time that has passed isn't known; an endpoint that is gone falls silent from now on.
 		state.Endpoints.Records[i].Age = 0
 	}
-	h.registry.Merge(h.Timer.Now(), state.Endpoints)
+	h.registry.Merge(h.Timer.Now(), state.Endpoints, &registry.Numbering{})
 	h.page = state.Page
 	if state.Weights != nil {
 		h.weights = state.Weights
@@ -228,7 +252,7 @@
 	for _, loop := range []struct {
 		interval time.Duration
 		step     func(context.Context)
-	}{{stateInterval, h.tellOthers}, {planInterval, h.planVoters}, {upgradeInterval, h.stepUpgrades}, {pruneInterval, h.prune}, {saveInterval, h.save}, {feedInterval, h.follow}} {
+	}{{stateInterval, h.tellOthers}, {planInterval, h.planVoters}, {upgradeInterval, h.stepUpgrades}, {pruneInterval, h.prune}, {saveInterval, h.save}, {feedInterval, h.follow}, {loadsInterval, h.sumLoads}} {
 		actors.Add(func() error { return timer.Every(ctx, h.Timer, loop.interval, loop.step) }, stop)
 	}
 	go h.fetchRegistry(ctx)
@@ -255,7 +279,7 @@
 			continue
 		}
 		h.mu.Lock()
-		h.registry.Merge(h.Timer.Now(), update)
+		h.registry.Merge(h.Timer.Now(), update, &registry.Numbering{})
 		h.mu.Unlock()
 		return
 	}
--- /dev/null
+++ b/internal/host/hub/loads_test.go
@@ -0,0 +1,113 @@
+package hub
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/codec"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/tally"
+)
+
+// Guards against answers to entry hosts that grow with the number of endpoints times how often they ask. At 240 engines each of 295
+// hosts was told 170 KB/s; the target for all control traffic of a host is 28 KB/s.
+func TestAnEntryHostIsToldWithinItsBudget(t *testing.T) {
+	const (
+		endpoints = 600
+		asks      = 120 * time.Millisecond
+		budget    = 28_000 // bytes a second
+	)
+	for _, count := range []int{18, 240, endpoints} {
+		t.Run(fmt.Sprint(count), func(t *testing.T) {
+			h := newTestHub(t)
+			h.Incarnation = 5
+			total := tally.Tally{}
+			var known registry.Numbering
+			told, answers := 0, 0
+			for passed := time.Duration(0); passed < 10*time.Second; passed += asks {
+				now := unit.Moment(time.Second).Add(passed)
+				for i := range count {
+					if (passed/asks+time.Duration(i))%10 == 0 { // each endpoint reports every 1.2 s
+						h.registry.Hear(now, registry.Report{ID: unit.EndpointID(fmt.Sprint("i-", i)), Service: "s", Address: fmt.Sprint("10.0.0.1:", i), Born: 1, Sequence: uint64(passed/asks) + 1})
+					}
+					total[registry.Index(i+1)] = assign.Load{Requests: 10, Tokens: 80_000, Unread: 9_000, Long: 4, Heard: 40}
+				}
+				h.loads = loads{total: total, packed: total.Pack(), at: now}
+				answer := h.answer("10.0.0.9", now, SyncRequest{Epoch: 5, Number: uint64(answers)}, nil)
+				encoded, err := codec.Marshal(answer)
+				assert.NilError(t, err)
+				if passed > 3*time.Second {
+					told += len(encoded)
+				}
+				registry.New().Merge(now, answer.Update, &known)
+				answers = int(answer.Update.Number) //nolint:gosec // a few thousand
+			}
+			rate := float64(told) / 7
+			t.Logf("%d endpoints: %.0f bytes a second", count, rate)
+			assert.Assert(t, rate <= budget, "%.0f bytes a second", rate)
+		})
+	}
+}
+
+// Guards against a host that counts its own requests twice, or another's not at all: it takes what it told from the sum by the number
+// that the sum includes.
+func TestTheSumSaysWhatItIncludes(t *testing.T) {
+	h := newTestHub(t)
+	h.Incarnation = 5
+	h.registry.Hear(0, registry.Report{ID: "e", Service: "s", Address: "10.0.0.1:80", Born: 1, Sequence: 1})
+	index := h.registry.Index("e")
+	ask := func(from unit.HostName, ms int, requests int, number uint64) SyncAnswer {
+		return h.answer(from, unit.Moment(ms)*unit.Moment(time.Millisecond), SyncRequest{Epoch: 5, LoadNumber: number}, tally.Tally{index: {Requests: requests}})
+	}
+	ask("10.0.0.8", 1, 3, 1)
+	ask("10.0.0.9", 1, 4, 1)
+	h.sumLoads(t.Context())
+	h.loads.at = unit.Moment(2 * time.Millisecond)
+	answer := ask("10.0.0.8", 3, 5, 2)
+	assert.Assert(t, answer.HasLoads)
+	assert.Equal(t, answer.Included, uint64(1))
+	read, err := tally.Unpack(answer.Loads)
+	assert.NilError(t, err)
+	assert.Equal(t, read[index].Requests, 7)
+	assert.Assert(t, !ask("10.0.0.8", 4, 5, 3).HasLoads, "the same sum is told again")
+}
+
+// Guards against indexes that a control host reads wrongly after it has restarted, because it lacks what was told before.
+func TestARestartedControlHostWaitsForTheWholeAccount(t *testing.T) {
+	sender, reader := newTestHub(t), newTestHub(t)
+	sender.Incarnation, reader.Incarnation, reader.Name = 1, 2, "10.0.0.2"
+	seeds := func() []unit.HostName { return []unit.HostName{"10.0.0.1", "10.0.0.2"} }
+	sender.Seeds, reader.Seeds = seeds, seeds
+	sender.Send = func(_ unit.HostName, _ string, payload []byte) {
+		assert.NilError(t, reader.hearOther("10.0.0.1", payload))
+	}
+	answerTo := func(h *Hub) {
+		h.Send = func(_ unit.HostName, _ string, payload []byte) {
+			assert.NilError(t, sender.hearOther("10.0.0.2", payload))
+		}
+	}
+	answerTo(reader)
+	exchange := func() {
+		sender.tellOthers(t.Context())
+		reader.tellOthers(t.Context())
+	}
+	sender.registry.Hear(0, registry.Report{ID: "old", Service: "s", Address: "10.1.0.1:80", Born: 1, Sequence: 1})
+	exchange()
+	exchange()
+	restarted := newTestHub(t)
+	restarted.Incarnation, restarted.Name, restarted.Seeds = 3, "10.0.0.2", seeds
+	answerTo(restarted)
+	reader = restarted
+	sender.registry.Hear(0, registry.Report{ID: "new", Service: "s", Address: "10.1.0.2:80", Born: 1, Sequence: 1})
+	exchange()
+	exchange()
+	_, ok := reader.registry.Endpoint("old")
+	assert.Assert(t, ok)
+	_, ok = reader.registry.Endpoint("new")
+	assert.Assert(t, ok)
+}
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -27,15 +27,12 @@
 	h.announce(control)
 	now := h.Timer.Now()
 	h.mu.Lock()
-	loads := Loads{}
-	for _, entry := range h.entries {
-		if now.Sub(entry.at) < forgottenAfter {
-			loads.add(entry.load)
-		}
+	state := State{
+		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), Entries: h.ownEntries(now), Leader: h.leads, DataCentre: h.DataCentre, Shared: h.naming,
 	}
-	state := State{Epoch: h.Incarnation, Loads: loads, Entries: h.ownEntries(now), Leader: h.leads, Control: control}
+	h.naming = nil
 	if h.leads {
-		state.Updating, state.Upcoming = h.planner.Updating(), h.planner.Upcoming()
+		state.Updating, state.Upcoming = h.registry.Indexes(h.planner.Updating()), h.registry.Indexes(h.planner.Upcoming())
 	}
 	messages := map[unit.HostName]State{}
 	for _, name := range control {
@@ -48,6 +45,7 @@
 			registryRead, holdingRead = 0, 0
 		}
 		state.Update, state.Holding = h.registry.Since(now, registryRead), h.own.Since(holdingRead)
+		state.RegistryAfter, state.HoldingAfter = registryRead, holdingRead
 		state.ReadEpoch, state.ReadRegistry, state.Read = other.Epoch, other.readRegistry, other.read
 		messages[name] = state
 	}
@@ -139,11 +137,12 @@
 	}
 	h.mu.Lock()
 	input.Newest = h.weights
-	busy := h.loadsWithout("", now)
+	busy := h.loads.total
 	for _, e := range h.registry.Present() {
 		if len(e.Weights) > 0 {
+			load := busy[h.registry.Index(e.ID)]
 			input.Replicas = append(input.Replicas, upgrade.Replica{
-				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining || now.Sub(e.HeardAt) > h.ReportSilence, Weights: e.Weights, Busy: busy[e.ID].Requests, Long: busy[e.ID].Long,
+				ID: e.ID, Service: e.Service, Born: e.Born, Leaving: e.Draining || now.Sub(e.HeardAt) > h.ReportSilence, Weights: e.Weights, Busy: load.Requests, Long: load.Long,
 			})
 		}
 	}
@@ -203,6 +202,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.registry.Prune(now)
+	h.shared.Prune(now)
 	for name, entry := range h.entries {
 		if now.Sub(entry.at) > pruneInterval {
 			delete(h.entries, name)
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -9,57 +9,63 @@
 	"github.com/citronglade/citronglade/internal/control/upgrade"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
-	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
-// Loads is what is in hand at each endpoint.
-type Loads map[unit.EndpointID]assign.Load
-
-// add adds other to l.
-func (l Loads) add(other Loads) {
-	for id, load := range other {
-		l[id] = l[id].Add(load)
-	}
-}
-
 // SyncRequest is what an entry host tells and knows.
 type SyncRequest struct {
 	TableVersion table.Version `cbor:"1,keyasint"`
 	// Epoch and Number say which hub's registry the host has read, and up to which change.
 	Epoch  unit.Incarnation `cbor:"2,keyasint"`
 	Number uint64           `cbor:"3,keyasint"`
-	Load   Loads            `cbor:"4,keyasint,omitempty"`
+	// Load is the packed tally of what the host has in hand, by the indexes of that registry. LoadNumber grows with each of them.
+	Load       []byte `cbor:"4,keyasint,omitempty"`
+	LoadNumber uint64 `cbor:"6,keyasint,omitempty"`
 	// Holding is the number of the last change of cached parts that the host has read from that hub.
 	Holding uint64 `cbor:"5,keyasint"`
+	// Shared names parts of prompts that several requests share.
+	Shared []sharing.Name `cbor:"7,keyasint,omitempty"`
+}
+
+// ControlHost is a control host that was heard lately.
+type ControlHost struct {
+	_          struct{} `cbor:",toarray"`
+	Name       unit.HostName
+	DataCentre unit.DataCentre // empty if it isn't known
 }
 
 // SyncAnswer is what a control host answers.
 type SyncAnswer struct {
 	// Age is how long ago this control host was in contact with a majority of the control hosts.
-	Age        time.Duration                         `cbor:"1,keyasint"`
-	Table      []byte                                `cbor:"2,keyasint,omitempty"` // CBOR of a table.Table that is newer than the host's
-	Weights    map[unit.ModelName]book.WeightsNumber `cbor:"3,keyasint,omitempty"`
-	Epoch      unit.Incarnation                      `cbor:"4,keyasint"`
-	Update     registry.Update                       `cbor:"5,keyasint"`
-	Others     Loads                                 `cbor:"6,keyasint,omitempty"` // in hand from other entry hosts
-	Updating   []unit.EndpointID                     `cbor:"7,keyasint,omitempty"`
-	EntryHosts int                                   `cbor:"8,keyasint"`
-	Control    []unit.HostName                       `cbor:"9,keyasint"`
-	Upcoming   []unit.EndpointID                     `cbor:"10,keyasint,omitempty"` // updated next
-	Holding    holding.Update                        `cbor:"11,keyasint"`
+	Age     time.Duration                         `cbor:"1,keyasint"`
+	Table   []byte                                `cbor:"2,keyasint,omitempty"` // CBOR of a table.Table that is newer than the host's
+	Weights map[unit.ModelName]book.WeightsNumber `cbor:"3,keyasint,omitempty"`
+	Epoch   unit.Incarnation                      `cbor:"4,keyasint"`
+	Update  registry.Update                       `cbor:"5,keyasint"`
+	// Loads is the packed tally of what all entry hosts have in hand, made LoadsAge ago. It holds what this host told under the
+	// number Included. Without HasLoads nothing newer is told this time.
+	Loads      []byte           `cbor:"6,keyasint,omitempty"`
+	LoadsAge   time.Duration    `cbor:"12,keyasint,omitempty"`
+	Included   uint64           `cbor:"13,keyasint,omitempty"`
+	HasLoads   bool             `cbor:"14,keyasint,omitempty"`
+	Updating   []registry.Index `cbor:"7,keyasint,omitempty"`
+	EntryHosts int              `cbor:"8,keyasint"`
+	Control    []ControlHost    `cbor:"9,keyasint"`
+	Upcoming   []registry.Index `cbor:"10,keyasint,omitempty"` // updated next
+	Holding    holding.Update   `cbor:"11,keyasint"`
 }
 
-// State is what control hosts tell each other.
+// State is what control hosts tell each other. Indexes are those of the sender's registry.
 type State struct {
-	Epoch    unit.Incarnation  `cbor:"1,keyasint"`
-	Update   registry.Update   `cbor:"2,keyasint"`
-	Loads    Loads             `cbor:"3,keyasint,omitempty"` // of the entry hosts that ask this control host
-	Entries  int               `cbor:"4,keyasint,omitempty"`
-	Leader   bool              `cbor:"5,keyasint,omitempty"`
-	Updating []unit.EndpointID `cbor:"6,keyasint,omitempty"` // told by the leader
-	Control  []unit.HostName   `cbor:"7,keyasint,omitempty"`
-	Upcoming []unit.EndpointID `cbor:"8,keyasint,omitempty"`
+	Epoch      unit.Incarnation `cbor:"1,keyasint"`
+	Update     registry.Update  `cbor:"2,keyasint"`
+	Loads      []byte           `cbor:"3,keyasint,omitempty"` // packed tally of the entry hosts that ask this control host
+	Entries    int              `cbor:"4,keyasint,omitempty"`
+	Leader     bool             `cbor:"5,keyasint,omitempty"`
+	Updating   []registry.Index `cbor:"6,keyasint,omitempty"` // told by the leader
+	DataCentre unit.DataCentre  `cbor:"7,keyasint,omitempty"`
+	Upcoming   []registry.Index `cbor:"8,keyasint,omitempty"`
 	// Holding is what the reader lacks of the cached parts that this control host follows.
 	Holding holding.Update `cbor:"9,keyasint"`
 	// ReadEpoch, Read and ReadRegistry say up to which changes of the reader's own this control host has read, so that what
@@ -67,6 +73,11 @@
 	ReadEpoch    unit.Incarnation `cbor:"10,keyasint,omitempty"`
 	Read         uint64           `cbor:"11,keyasint,omitempty"`
 	ReadRegistry uint64           `cbor:"12,keyasint,omitempty"`
+	Shared       []sharing.Name   `cbor:"13,keyasint,omitempty"` // heard since the message before
+	// RegistryAfter and HoldingAfter are the numbers of the changes after which Update and Holding begin. A reader that has
+	// restarted lacks what came before, without which indexes mean nothing to it.
+	RegistryAfter uint64 `cbor:"14,keyasint,omitempty"`
+	HoldingAfter  uint64 `cbor:"15,keyasint,omitempty"`
 }
 
 // Feed is a piece of the events of an engine or store.
--- a/internal/host/site/process.go
+++ b/internal/host/site/process.go
@@ -122,7 +122,7 @@
 	}
 	if s.Control != "" {
 		p.hub = hub.New(hub.Dependencies{
-			Name: s.Name, Incarnation: unit.Incarnation(time.Now().UnixNano()), DataFolder: s.DataFolder, Seeds: s.Seeds.Names,
+			Name: s.Name, DataCentre: s.DataCentre, Incarnation: unit.Incarnation(time.Now().UnixNano()), DataFolder: s.DataFolder, Seeds: s.Seeds.Names,
 			Form: s.Form, Voters: s.Voters, Timer: p.timer, Log: p.log, Call: p.link.Call, Send: p.link.Send,
 			Engines: protocol.Engines(p.timer.Now, s.Name, p.log), LeaseWait: s.LeaseWait, ReportSilence: s.Assign.ReportSilence,
 		})
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -14,6 +14,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
 const (
@@ -81,6 +82,7 @@
 	sendings map[table.ServiceName]*sending
 	// storeFetches is what this host's requests fetch from the store, in bytes.
 	storeFetches flow
+	shared       shared
 }
 
 // namedWeights is a version of a model's weights and when this host learned of it.
@@ -105,7 +107,7 @@
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		named: map[unit.ModelName][]namedWeights{}, paces: map[table.ServiceName]pace{}, hosts: 1, holdings: holding.New(),
-		turnover: turnover{}, sendings: map[table.ServiceName]*sending{},
+		turnover: turnover{}, sendings: map[table.ServiceName]*sending{}, shared: shared{told: map[sharing.Name]unit.Moment{}},
 	}
 }
 
@@ -155,9 +157,18 @@
 	}
 }
 
-// SetLoads takes what other hosts have in hand at each endpoint.
-func (a *Assigner) SetLoads(now unit.Moment, others map[unit.EndpointID]Load) {
-	a.loadsAt = now
+// SetHeard takes the last reports of endpoints that haven't changed otherwise.
+func (a *Assigner) SetHeard(endpoints []registry.Endpoint) {
+	for _, e := range endpoints {
+		if r, ok := a.replicas[e.ID]; ok && r.Born == e.Born {
+			r.refresh(e, r.engine)
+		}
+	}
+}
+
+// SetLoads takes what other hosts have in hand at each endpoint, as it was known at that moment.
+func (a *Assigner) SetLoads(at unit.Moment, others map[unit.EndpointID]Load) {
+	a.loadsAt = at
 	for id, r := range a.replicas {
 		r.others = others[id]
 	}
@@ -170,8 +181,7 @@
 
 // SetHoldings takes changes of what is cached where.
 func (a *Assigner) SetHoldings(now unit.Moment, update holding.Update) {
-	a.turnover.note(now, update.Changes)
-	a.holdings.Merge(update)
+	a.turnover.note(now, a.holdings.Merge(update))
 }
 
 // SetHosts says how many entry hosts share the endpoints.
@@ -331,6 +341,7 @@
 	}
 	f := &Flight{replica: r, work: w, sentAt: now, expected: choice.Expected, load: Load{Requests: 1}}
 	if w.Prompted {
+		a.shared.note(now, w)
 		f.load.Tokens, f.load.Unread = w.tokens(), choice.Missing
 		if w.long() {
 			f.load.Long = 1
--- a/internal/routing/holding/map.go
+++ b/internal/routing/holding/map.go
@@ -1,9 +1,11 @@
 // Package holding knows which parts of prompts are cached where, as engines and stores tell by their events. Control hosts
-// follow the events and pass changes on; entry hosts apply them. A change carries 8 bytes for a part, so that 2,000 changes
-// a second stay below the 28 KB/s that a host may spend on control.
+// follow the events and pass changes on; entry hosts apply them. A change of one part takes some 14 bytes, so that 700 changes a
+// second, those of the shared parts of 240 engines, stay below 10 of the 28 KB/s that a host may spend on control.
 package holding
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -25,9 +27,14 @@
 	return Part(hash.Sum64())
 }
 
+// Index stands for a place in the updates of one map, 1 being the first that it knew.
+type Index uint32
+
 // Change is what happened at one place. Cleared comes first.
 type Change struct {
-	Place   Place  `cbor:"1,keyasint"`
+	// Place is empty in an update unless Cleared, which is the first that a reader hears of an index.
+	Place   Place  `cbor:"1,keyasint,omitempty"`
+	Index   Index  `cbor:"6,keyasint,omitempty"`
 	Cleared bool   `cbor:"2,keyasint,omitempty"` // nothing that was held before counts
 	Gone    bool   `cbor:"5,keyasint,omitempty"` // nothing is known of the place any more
 	Added   []Part `cbor:"3,keyasint,omitempty"`
@@ -44,6 +51,7 @@
 // step is one change in the order in which it was applied.
 type step struct {
 	place   Place
+	index   Index
 	part    Part
 	removed bool
 	cleared bool
@@ -52,14 +60,23 @@
 
 // Map is a deterministic state machine, not safe for concurrent use.
 type Map struct {
-	places map[Place]map[Part]struct{}
-	log    []step // the last ones; the newest has the number number
-	number uint64
+	places  map[Place]*account
+	holders map[Part][]Place // the places that hold a part
+	names   map[Index]Place  // of the map whose updates are merged
+	last    Index            // the highest index that was given
+	log     []step           // the last ones; the newest has the number number
+	number  uint64
+}
+
+// account is what one place holds.
+type account struct {
+	index Index
+	parts map[Part]struct{}
 }
 
 // New returns an empty map.
 func New() *Map {
-	return &Map{places: map[Place]map[Part]struct{}{}}
+	return &Map{places: map[Place]*account{}, holders: map[Part][]Place{}, names: map[Index]Place{}}
 }
 
 // Apply carries out changes.
@@ -71,31 +88,63 @@
 		}
 		held := m.places[change.Place]
 		if held == nil || change.Cleared {
-			held = map[Part]struct{}{}
-			m.places[change.Place] = held
-			m.note(step{place: change.Place, cleared: true})
+			held = m.clear(change.Place, held)
 		}
 		for _, part := range change.Added {
-			if _, ok := held[part]; !ok {
-				held[part] = struct{}{}
-				m.note(step{place: change.Place, part: part})
+			if _, ok := held.parts[part]; !ok {
+				held.parts[part] = struct{}{}
+				m.holders[part] = append(m.holders[part], change.Place)
+				m.note(step{place: change.Place, index: held.index, part: part})
 			}
 		}
 		for _, part := range change.Removed {
-			if _, ok := held[part]; ok {
-				delete(held, part)
-				m.note(step{place: change.Place, part: part, removed: true})
+			if _, ok := held.parts[part]; ok {
+				delete(held.parts, part)
+				m.drop(part, change.Place)
+				m.note(step{place: change.Place, index: held.index, part: part, removed: true})
 			}
 		}
 	}
 }
 
+// clear makes a place hold nothing, and names it if it isn't known.
+func (m *Map) clear(place Place, held *account) *account {
+	if held == nil {
+		m.last++
+		held = &account{index: m.last}
+		m.places[place] = held
+	}
+	for part := range held.parts {
+		m.drop(part, place)
+	}
+	held.parts = map[Part]struct{}{}
+	m.note(step{place: place, index: held.index, cleared: true})
+	return held
+}
+
+func (m *Map) drop(part Part, place Place) {
+	holders := m.holders[part]
+	if at := slices.Index(holders, place); at >= 0 {
+		holders = slices.Delete(holders, at, at+1)
+	}
+	if len(holders) == 0 {
+		delete(m.holders, part)
+		return
+	}
+	m.holders[part] = holders
+}
+
 // Forget drops a place of which nothing is known any more.
 func (m *Map) Forget(place Place) {
-	if _, ok := m.places[place]; ok {
-		delete(m.places, place)
-		m.note(step{place: place, gone: true})
+	held, ok := m.places[place]
+	if !ok {
+		return
 	}
+	for part := range held.parts {
+		m.drop(part, place)
+	}
+	delete(m.places, place)
+	m.note(step{place: place, index: held.index, gone: true})
 }
 
 func (m *Map) note(s step) {
@@ -106,12 +155,30 @@
 	}
 }
 
-// Merge takes what another map holds. After a whole update only its places are known.
-func (m *Map) Merge(update Update) {
+// Merge takes what another map holds and returns the changes with the names of their places. After a whole update only its places
+// are known. All updates come from the same map until a whole one.
+func (m *Map) Merge(update Update) []Change {
 	if update.Whole {
-		m.places = map[Place]map[Part]struct{}{}
+		clear(m.places)
+		clear(m.holders)
+		clear(m.names)
+	}
+	changes := make([]Change, 0, len(update.Changes))
+	for _, change := range update.Changes {
+		if change.Place == "" {
+			change.Place = m.names[change.Index]
+		} else if change.Index != 0 {
+			m.names[change.Index] = change.Place
+		}
+		if change.Gone {
+			delete(m.names, change.Index)
+		}
+		if change.Place != "" {
+			changes = append(changes, change)
+		}
 	}
-	m.Apply(update.Changes)
+	m.Apply(changes)
+	return changes
 }
 
 // Since returns the changes after the one with that number.
@@ -121,13 +188,13 @@
 		return m.whole()
 	}
 	update := Update{Number: m.number}
-	changes := map[Place]int{}
+	changes := map[Index]int{}
 	for _, s := range m.log[number-first:] {
-		at, ok := changes[s.place]
+		at, ok := changes[s.index]
 		if !ok {
 			at = len(update.Changes)
-			changes[s.place] = at
-			update.Changes = append(update.Changes, Change{Place: s.place})
+			changes[s.index] = at
+			update.Changes = append(update.Changes, Change{Index: s.index})
 		}
 		update.Changes[at].add(s)
 	}
@@ -138,9 +205,9 @@
 func (c *Change) add(s step) {
 	switch {
 	case s.gone:
-		*c = Change{Place: c.Place, Gone: true}
+		*c = Change{Index: c.Index, Gone: true}
 	case s.cleared:
-		*c = Change{Place: c.Place, Cleared: true}
+		*c = Change{Place: s.place, Index: c.Index, Cleared: true}
 	case s.removed:
 		c.Added = without(c.Added, s.part)
 		c.Removed = append(c.Removed, s.part)
@@ -162,8 +229,8 @@
 func (m *Map) whole() Update {
 	update := Update{Number: m.number, Whole: true}
 	for place, held := range m.places {
-		change := Change{Place: place, Cleared: true}
-		for part := range held {
+		change := Change{Place: place, Index: held.index, Cleared: true}
+		for part := range held.parts {
 			change.Added = append(change.Added, part)
 		}
 		update.Changes = append(update.Changes, change)
@@ -182,8 +249,12 @@
 
 // Parts returns what a place holds, in no order.
 func (m *Map) Parts(place Place) []Part {
-	parts := make([]Part, 0, len(m.places[place]))
-	for part := range m.places[place] {
+	held, ok := m.places[place]
+	if !ok {
+		return nil
+	}
+	parts := make([]Part, 0, len(held.parts))
+	for part := range held.parts {
 		parts = append(parts, part)
 	}
 	return parts
@@ -191,7 +262,15 @@
 
 // Count returns the number of parts that a place holds.
 func (m *Map) Count(place Place) int {
-	return len(m.places[place])
+	if held, ok := m.places[place]; ok {
+		return len(held.parts)
+	}
+	return 0
+}
+
+// Holders returns the places that hold a part. The caller must not change it.
+func (m *Map) Holders(part Part) []Place {
+	return m.holders[part]
 }
 
 // Known reports whether the events of a place are followed.
@@ -202,6 +281,10 @@
 
 // Holds reports whether a place holds a part.
 func (m *Map) Holds(place Place, part Part) bool {
-	_, ok := m.places[place][part]
+	held, ok := m.places[place]
+	if !ok {
+		return false
+	}
+	_, ok = held.parts[part]
 	return ok
 }
--- /dev/null
+++ b/internal/routing/sharing/filter_test.go
@@ -0,0 +1,54 @@
+package sharing
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/holding"
+)
+
+func event(id string, removed bool) Event {
+	return Event{Removed: removed, Name: NewName(id), Part: holding.NewPart("k", id)}
+}
+
+// Guards against parts of single requests filling the messages, and against shared parts that aren't told because they were held
+// before a host named them.
+func TestOnlySharedPartsArePassedOn(t *testing.T) {
+	f := New()
+	assert.Equal(t, len(f.Hear(0, []Name{NewName("a")})), 1)
+	change := f.Pass("e", true, []Event{event("a", false), event("own", false), event("b", false)})
+	assert.DeepEqual(t, change.Added, []holding.Part{holding.NewPart("k", "a")})
+	assert.Equal(t, len(f.Release()), 0)
+	f.Hear(0, []Name{NewName("b")})
+	released := f.Release()
+	assert.Equal(t, len(released), 1)
+	assert.DeepEqual(t, released[0].Added, []holding.Part{holding.NewPart("k", "b")})
+	assert.Equal(t, len(f.Release()), 0)
+	change = f.Pass("e", false, []Event{event("b", true), event("a", true), event("a", false)})
+	assert.DeepEqual(t, change.Removed, []holding.Part{holding.NewPart("k", "b")})
+	assert.DeepEqual(t, change.Added, []holding.Part{holding.NewPart("k", "a")})
+	// What was dropped before it was named stays dropped.
+	f.Pass("e", false, []Event{event("c", false), event("c", true)})
+	f.Hear(0, []Name{NewName("c")})
+	assert.Equal(t, len(f.Release()), 0)
+}
+
+// Guards against names that hosts tell each other without end, and against names that are kept for good.
+func TestNamesAreToldAgainAndForgotten(t *testing.T) {
+	f, names := New(), []Name{NewName("a")}
+	told := []time.Duration{}
+	for at := time.Duration(0); at < time.Minute; at += time.Second {
+		if len(f.Hear(unit.Moment(at), names)) > 0 {
+			told = append(told, at)
+		}
+	}
+	assert.Assert(t, slices.Equal(told, []time.Duration{0, RepeatAfter, 2 * RepeatAfter}), "%v", told)
+	f.Prune(unit.Moment(2*RepeatAfter + forgetAfter))
+	assert.Equal(t, len(f.Pass("e", true, []Event{event("a", false)}).Added), 1)
+	f.Prune(unit.Moment(2*RepeatAfter + forgetAfter + 1))
+	assert.Equal(t, len(f.Pass("e", true, []Event{event("a", false)}).Added), 0)
+}
