Draw the endpoint of a short request by the room for it

Change: what all hosts send while the view is old is poured onto the loads, and each host draws an endpoint by the room that is filled so, and by its value (assign/spread.go). With few hosts or a fresh view the draw falls on the least loaded.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -271,7 +271,7 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r.work.Patience = r.patience(now)
+	r.work.Patience, r.work.Draw = r.patience(now), rand.Float64()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
 	if !ok {
 		return choice, nil, fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -243,9 +243,8 @@
 	w.prepare()
 	candidates := a.services[w.Service]
 	p := a.prospect(now, w, candidates)
-	var best *replica
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
-	bestTier := tierOpen
+	weighed := make([]candidate, 0, len(candidates))
 	for i, r := range candidates {
 		if r.Draining || slices.Contains(tried, r.ID) {
 			continue
@@ -260,20 +259,41 @@
 			continue
 		}
 		choice.Others++
-		value := a.value(now, r, w, expected, supply) - rankCost*math.Log2(1+float64(p.homes.rank(i)))
-		tier := a.tier(now, r, w, behind)
-		if tier == tierPaused {
+		c := candidate{replica: r, tier: a.tier(now, r, w, behind)}
+		c.value = a.value(now, r, w, expected, supply) - rankCost*math.Log2(1+float64(p.homes.rank(i)))
+		if c.tier == tierPaused {
 			choice.Paused++
 		}
-		if best != nil && (tier > bestTier || tier == bestTier && value <= choice.Value) {
-			continue
+		if len(p.room) > 0 {
+			c.room = p.room[i]
+		}
+		c.choice = Choice{
+			Endpoint: r.ID, Address: r.Address, Weights: r.weights(w.Model), Expected: expected, Waiting: behind, Missing: supply.missing, Value: c.value,
+			Source: supply.source, Save: supply.save, Again: supply.again, Copied: supply.copied,
+		}
+		weighed = append(weighed, c)
+	}
+	pick := best
+	if !w.Prompted {
+		pick = draw
+	}
+	picked, ok := pick(w, weighed)
+	if !ok {
+		return choice, false
+	}
+	picked.choice.LoadAge, picked.choice.Others, picked.choice.Paused = choice.LoadAge, choice.Others, choice.Paused
+	return picked.choice, true
+}
+
+// best returns the candidate of the highest value in the best tier.
+func best(_ *Work, weighed []candidate) (candidate, bool) {
+	var found candidate
+	for i, c := range weighed {
+		if i == 0 || c.tier < found.tier || c.tier == found.tier && c.value > found.value {
+			found = c
 		}
-		best, bestTier = r, tier
-		choice.Endpoint, choice.Address, choice.Weights = r.ID, r.Address, r.weights(w.Model)
-		choice.Expected, choice.Waiting, choice.Missing, choice.Value = expected, behind, supply.missing, value
-		choice.Source, choice.Save, choice.Again, choice.Copied = supply.source, supply.save, supply.again, supply.copied
 	}
-	return choice, best != nil
+	return found, len(weighed) > 0
 }
 
 // tier orders endpoints before their value does.
@@ -356,12 +376,10 @@
 	}
 	r.own = r.own.Add(f.load)
 	r.sent(now, f.load)
-	if w.Prompted {
-		if a.sendings[w.Service] == nil {
-			a.sendings[w.Service] = &sending{}
-		}
-		a.sendings[w.Service].add(now, f.load)
+	if a.sendings[w.Service] == nil {
+		a.sendings[w.Service] = &sending{}
 	}
+	a.sendings[w.Service].add(now, f.load)
 	r.flights[f] = struct{}{}
 	return f
 }
--- a/internal/routing/assign/level.go
+++ b/internal/routing/assign/level.go
@@ -35,7 +35,7 @@
 	loads := make([]Load, len(candidates))
 	if !w.Prompted {
 		for i, r := range candidates {
-			loads[i] = r.load(now, a.hosts)
+			loads[i] = r.own.Add(r.others)
 		}
 		return loads
 	}
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -78,11 +78,6 @@
 	}
 }
 
-// load estimates what is in hand at the endpoint.
-func (r *replica) load(now unit.Moment, hosts int) Load {
-	return r.own.Add(r.others).Add(r.untold(now, hosts))
-}
-
 // untold estimates what other hosts have sent since they told: each of them has probably sent as much there as this host has,
 // because all decide alike on the same view.
 func (r *replica) untold(now unit.Moment, hosts int) Load {
--- a/internal/routing/assign/supply.go
+++ b/internal/routing/assign/supply.go
@@ -134,6 +134,7 @@
 	stocks  []stock
 	sources map[book.WeightsNumber][]int
 	loads   []Load
+	room    []float64 // of a plain service
 	pace    pace
 }
 
@@ -141,6 +142,9 @@
 	p := &prospect{homes: a.homes(now, w, candidates), stocks: a.stocks(now, w, candidates), pace: a.pace(w.Service)}
 	p.sources = a.sources(now, w, candidates, p)
 	p.loads = a.loads(now, w, candidates, p.pace)
+	if !w.Prompted {
+		p.room = a.room(now, w, candidates, p.loads)
+	}
 	return p
 }
 
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -33,6 +33,7 @@
 	Output    unit.Tokens // most tokens of the answer
 	Objective time.Duration
 	Patience  time.Duration // an answer that begins later is lost
+	Draw      float64       // random, from 0 up to 1: decides between endpoints of a plain service
 	Shortest  time.Duration // the shortest objective of the requests that share the service's endpoints
 
 	prefixes []Prefix                              // by part, filled by prepare
