Spread the return of refused callers, and let them in before new ones

Change: package comeback spreads the return from when there will be room to the third of the remaining time that callers honour; a prompt whose caller has clearly less time than others of its route has been refused before and may wait twice as long.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/citronglade/citronglade/internal/admission/comeback"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -26,8 +27,6 @@
 const (
 	// defaultPatience bounds a request whose caller doesn't say how long it waits.
 	defaultPatience = 30 * time.Second
-	// leastRetryAfter and mostRetryAfter bound the time to come back that a refusal names.
-	leastRetryAfter, mostRetryAfter = 250 * time.Millisecond, 1500 * time.Millisecond
 	// startTime is how long a host needs to find the control hosts and its table after all hosts have restarted together.
 	startTime = time.Second
 	// patienceShare is the part of a caller's time within which an answer must be expected to begin; the rest covers the
@@ -38,6 +37,11 @@
 	leastSilence      = 2 * time.Second
 	silenceObjectives = 4
 	silencePauses     = 8
+	// freshShare is the part of the time of a first attempt below which a caller has been refused before. A refusal costs at least
+	// the 250 ms until it comes back.
+	freshShare = 0.97
+	// freshDecay is the part of that time by which it falls with each caller that has less.
+	freshDecay = 10_000
 	// maxSends bounds how often one request is sent, refusals of endpoints included.
 	maxSends = 4
 )
@@ -64,6 +68,7 @@
 	assigner *assign.Assigner
 	ledger   *allowance.Ledger
 	watched  map[*assign.Flight]watchedAttempt
+	fresh    map[string]time.Duration // by route, the time that callers have who weren't refused before
 	running  int
 }
 
@@ -77,7 +82,7 @@
 func New(d Dependencies) *Handler {
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: allowance.New(d.Allowance),
-		watched: map[*assign.Flight]watchedAttempt{},
+		watched: map[*assign.Flight]watchedAttempt{}, fresh: map[string]time.Duration{},
 	}
 }
 
@@ -271,7 +276,7 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	r.work.Patience, r.work.Draw = r.patience(now), rand.Float64()
+	r.work.Patience, r.work.Draw, r.work.Returned = r.patience(now), rand.Float64(), r.returned()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
 	if !ok {
 		return choice, nil, fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
@@ -279,11 +284,11 @@
 	r.weighed = &choice
 	if choice.Expected > r.work.Patience {
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s, the caller waits %s", choice.Expected, r.work.Patience).
-			WithProperty(fault.RetryAfter, choice.Expected/2)
+			WithProperty(fault.RetryAfter, choice.Expected-r.work.Patience)
 	}
 	if r.sends == 0 && !choice.Admits(&r.work) {
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s of waiting, the objective is %s", choice.Waiting, r.work.Objective).
-			WithProperty(fault.RetryAfter, choice.Waiting/2)
+			WithProperty(fault.RetryAfter, choice.Excess(&r.work))
 	}
 	if r.sends == 0 {
 		h.ledger.Request(now, r.service.Name)
@@ -294,6 +299,22 @@
 	return choice, h.assigner.Begin(now, &r.work, choice), nil
 }
 
+// returned reports whether the caller has probably been refused before: it has clearly less time than others of its route at their
+// first attempt. The lock of the handler must be held.
+func (r *request) returned() bool {
+	longest := r.h.fresh[r.route.Name]
+	if r.call.Patience <= 0 {
+		return false
+	}
+	if r.call.Patience >= longest {
+		r.h.fresh[r.route.Name] = r.call.Patience
+		return false
+	}
+	// Times that callers state less and less are followed slowly.
+	r.h.fresh[r.route.Name] = longest - longest/freshDecay
+	return float64(r.call.Patience) < freshShare*float64(longest)
+}
+
 // again decides whether the request is sent once more.
 func (r *request) again(ctx context.Context, result attemptResult) bool {
 	if ctx.Err() != nil || r.sends >= maxSends {
@@ -349,13 +370,8 @@
 		return
 	}
 	if status == http.StatusServiceUnavailable {
-		after, ok := fault.RetryAfterOf(err)
-		if !ok {
-			after = leastRetryAfter
-		}
-		// Callers that are refused in the same moment shall not return in the same moment.
-		after = min(max(after, leastRetryAfter), mostRetryAfter)
-		after += time.Duration(rand.Float64() * 0.5 * float64(after))
+		room, _ := fault.RetryAfterOf(err) // 0 if it isn't known
+		after := comeback.Refusal{Room: room, Left: r.left(), Draw: rand.Float64()}.After()
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
 	}
 	r.log("refused", err)
@@ -363,6 +379,15 @@
 	r.writeText(status, err)
 }
 
+// left is how long the caller still waits.
+func (r *request) left() time.Duration {
+	patience := r.call.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	return max(0, patience-r.h.Now().Sub(r.call.Arrived))
+}
+
 func (r *request) writeText(status int, err error) {
 	text := fault.Name(err) + "\n"
 	header := r.w.Header()
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -34,6 +34,7 @@
 	Objective time.Duration
 	Patience  time.Duration // an answer that begins later is lost
 	Draw      float64       // random, from 0 up to 1: decides between endpoints of a plain service
+	Returned  bool          // the caller was refused before
 	Shortest  time.Duration // the shortest objective of the requests that share the service's endpoints
 
 	prefixes []Prefix                              // by part, filled by prepare
