Tell loads every 50 ms

Cause: hosts decided on loads 0.2 to 0.35 s old.

Change: entry hosts ask every 50 ms, control hosts sum loads every 40 ms and tell each other every 50 ms, which the packed messages allow (half of the 28 KB/s at most). loadLag is 180 ms instead of 250. Rates and times that a host has measured for a short while only count for that while: a host that has just started expected too little of the others.

The replay now says how old its loads are when it passes them on, 150 ms as before.

--- a/internal/endpoints/registry/numbering.go
+++ b/internal/endpoints/registry/numbering.go
@@ -5,7 +5,8 @@
 // Numbering is what a reader knows of the indexes in another registry's messages. The zero value knows none. It is valid until the
 // sender restarts.
 type Numbering struct {
-	known map[Index]lifetime
+	known   map[Index]lifetime
+	indexes map[unit.EndpointID]Index
 }
 
 // lifetime is one lifetime of an endpoint.
@@ -20,13 +21,14 @@
 		return
 	}
 	if record.Left {
-		delete(n.known, record.Index)
+		n.drop(record.Index)
 		return
 	}
 	if n.known == nil {
-		n.known = map[Index]lifetime{}
+		n.known, n.indexes = map[Index]lifetime{}, map[unit.EndpointID]Index{}
 	}
 	n.known[record.Index] = lifetime{record.ID, record.Born}
+	n.indexes[record.ID] = max(n.indexes[record.ID], record.Index)
 }
 
 // ID returns the endpoint that an index stands for, or false if the sender hasn't named it.
@@ -35,15 +37,10 @@
 	return known.id, ok
 }
 
-// Indexes returns the index of each endpoint that the sender has named and that hasn't left.
-func (n *Numbering) Indexes() map[unit.EndpointID]Index {
-	indexes := make(map[unit.EndpointID]Index, len(n.known))
-	for index, lifetime := range n.known {
-		if other, ok := indexes[lifetime.id]; !ok || index > other {
-			indexes[lifetime.id] = index
-		}
-	}
-	return indexes
+// Index returns the newest index of an endpoint, or false if the sender hasn't named it or it has left.
+func (n *Numbering) Index(id unit.EndpointID) (Index, bool) {
+	index, ok := n.indexes[id]
+	return index, ok
 }
 
 // IDs returns the endpoints with those indexes, as far as the sender has named them.
@@ -61,7 +58,14 @@
 func (n *Numbering) Prune(r *Registry) {
 	for index, lifetime := range n.known {
 		if e, ok := r.entries[lifetime.id]; !ok || e.Born != lifetime.born {
-			delete(n.known, index)
+			n.drop(index)
 		}
 	}
 }
+
+func (n *Numbering) drop(index Index) {
+	if id := n.known[index].id; n.indexes[id] == index {
+		delete(n.indexes, id)
+	}
+	delete(n.known, index)
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -31,7 +31,7 @@
 
 const (
 	// syncInterval is the time between two calls to a control host.
-	syncInterval = 120 * time.Millisecond
+	syncInterval = 50 * time.Millisecond
 	// syncTimeout bounds one of these calls; after it another control host is asked.
 	syncTimeout = 350 * time.Millisecond
 	// staleAfter is how long a control host may have been without a majority before another one is asked.
@@ -201,10 +201,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.hub = g.preferred(now)
-	indexes := g.numbering.Indexes()
 	load := tally.Tally{}
 	for id, l := range own {
-		if index, ok := indexes[id]; ok {
+		if index, ok := g.numbering.Index(id); ok {
 			load[index] = l
 		}
 	}
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -39,9 +39,9 @@
 	groupHeartbeat = 80 * time.Millisecond
 	groupElection  = 450 * time.Millisecond
 	// loadsInterval is the time between two sums of the loads.
-	loadsInterval = 100 * time.Millisecond
+	loadsInterval = 40 * time.Millisecond
 	// stateInterval is the time between two messages to the other control hosts.
-	stateInterval = 100 * time.Millisecond
+	stateInterval = 50 * time.Millisecond
 	// planInterval is the time between two looks at the voters.
 	planInterval = 300 * time.Millisecond
 	// upgradeInterval is the time between two steps of the upgrades.
@@ -57,9 +57,9 @@
 	confirmPause = 20 * time.Millisecond
 	// pruneInterval is the time between two prunings of the registry.
 	pruneInterval = 10 * time.Second
-	// loadsBudget bounds what an entry host is told of loads, in bytes a second: about a third of the 28 KB/s that a host may
+	// loadsBudget bounds what an entry host is told of loads, in bytes a second: half of the 28 KB/s that a host may
 	// spend on control.
-	loadsBudget = 10_000
+	loadsBudget = 14_000
 )
 
 // Dependencies are what New needs.
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -403,6 +403,7 @@
 type pace struct {
 	factor float64       // observed over expected time to the first byte
 	mean   time.Duration // of a request, for which it takes a place and memory
+	taken  int           // requests that mean rests on, up to the number at which new ones weigh paceShare
 }
 
 func (a *Assigner) pace(service table.ServiceName) pace {
@@ -427,11 +428,17 @@
 // learnDuration takes the whole time of a request into account.
 func (a *Assigner) learnDuration(f *Flight, took time.Duration) {
 	f.replica.mean += time.Duration(learnShare * float64(took-f.replica.mean))
-	if f.work.Prompted {
-		known := a.pace(f.replica.Service)
-		known.mean += time.Duration(paceShare * float64(took-known.mean))
-		a.paces[f.replica.Service] = known
+	if !f.work.Prompted {
+		return
+	}
+	known := a.pace(f.replica.Service)
+	share := paceShare
+	if known.taken < 1/paceShare {
+		known.taken++
+		share = 1 / float64(known.taken)
 	}
+	known.mean += time.Duration(share * float64(took-known.mean))
+	a.paces[f.replica.Service] = known
 }
 
 // Heard notes that the endpoint of the attempt sent something.
--- a/internal/routing/assign/level.go
+++ b/internal/routing/assign/level.go
@@ -60,9 +60,9 @@
 	// What the untold part of each engine's load covers already doesn't count again.
 	others := (float64(a.hosts-1) - untoldShare*float64(min(a.hosts-1, mostUntold))) * lag.Seconds()
 	level := Load{
-		Requests: int(waterLevel(requests, others*sent.requests.rate(now)) + 0.5),
-		Tokens:   unit.Tokens(waterLevel(tokens, others*sent.tokens.rate(now))),
-		Unread:   unit.Tokens(waterLevel(unread, others*sent.unread.rate(now))),
+		Requests: int(waterLevel(requests, others*sent.requests.youngRate(now)) + 0.5),
+		Tokens:   unit.Tokens(waterLevel(tokens, others*sent.tokens.youngRate(now))),
+		Unread:   unit.Tokens(waterLevel(unread, others*sent.unread.youngRate(now))),
 	}
 	for i := range loads {
 		l := &loads[i]
--- a/internal/routing/assign/replay_test.go
+++ b/internal/routing/assign/replay_test.go
@@ -208,7 +208,8 @@
 		for id, load := range total {
 			others[id] = load.Sub(h.told[id])
 		}
-		h.assigner.SetLoads(r.now, others)
+		// The loads are one exchange old, of which loadLag is the part that isn't told.
+		h.assigner.SetLoads(r.now.Add(loadLag-modelSync), others)
 		h.assigner.SetHoldings(r.now, holding.Update{Changes: events})
 	}
 	for _, h := range r.hosts {
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -30,7 +30,7 @@
 	firstPause, longestPause = 400 * time.Millisecond, 6 * time.Second
 	// loadLag is the age of what other hosts tell of their load, and untoldShare the part of this host's own sending that
 	// each of the others is expected to have sent to the same endpoint meanwhile.
-	loadLag     = 250 * time.Millisecond
+	loadLag     = 180 * time.Millisecond
 	untoldShare = 0.8
 	// leastStall is the silence beyond the expected time from which an endpoint counts as stalled.
 	leastStall = 100 * time.Millisecond
--- a/internal/routing/assign/spread.go
+++ b/internal/routing/assign/spread.go
@@ -23,7 +23,7 @@
 	amount := 1.0 // this request
 	if sent, ok := a.sendings[w.Service]; ok {
 		lag := min(loadLag+now.Sub(a.loadsAt), longestLag)
-		amount += float64(a.hosts-1) * sent.requests.rate(now) * lag.Seconds()
+		amount += float64(a.hosts-1) * sent.requests.youngRate(now) * lag.Seconds()
 	}
 	var filled []float64 // requests in hand for each place
 	places := 0.0
--- a/internal/routing/assign/turnover.go
+++ b/internal/routing/assign/turnover.go
@@ -11,13 +11,20 @@
 // rateMemory is the time constant with which rates forget.
 const rateMemory = 2 * time.Second
 
+// leastWindow is the least time over which a flow that has just begun is averaged.
+const leastWindow = 250 * time.Millisecond
+
 // flow measures how much comes in a second.
 type flow struct {
-	sum float64 // decayed
-	at  unit.Moment
+	sum   float64 // decayed
+	at    unit.Moment
+	began unit.Moment
 }
 
 func (f *flow) add(now unit.Moment, amount float64) {
+	if f.at == 0 {
+		f.began = now
+	}
 	f.sum, f.at = f.sum*f.kept(now)+amount, now
 }
 
@@ -26,6 +33,12 @@
 	return f.sum * f.kept(now) / rateMemory.Seconds()
 }
 
+// youngRate returns the amount a second of a flow that may have begun lately, as on a host that has just started.
+func (f *flow) youngRate(now unit.Moment) float64 {
+	measured := max(now.Sub(f.began), leastWindow)
+	return f.rate(now) / (1 - math.Exp(-float64(measured)/float64(rateMemory)))
+}
+
 func (f *flow) kept(now unit.Moment) float64 {
 	return math.Exp(-float64(now.Sub(f.at)) / float64(rateMemory))
 }
