--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -152,6 +152,7 @@
 	body     []byte
 	deadline unit.Moment
 
+	comeBack  time.Duration  // named in a refusal, 0 if there is none
 	weighed   *assign.Choice // the last choice, also one that wasn't admitted
 	tried     []unit.EndpointID
 	sends     int
@@ -371,8 +372,8 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		room, _ := fault.RetryAfterOf(err) // 0 if it isn't known
-		after := comeback.Refusal{Room: room, Left: r.left(), Draw: rand.Float64()}.After()
-		r.w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', 2, 64))
+		r.comeBack = comeback.Refusal{Room: room, Left: r.left(), Draw: rand.Float64()}.After()
+		r.w.Header().Set("Retry-After", strconv.FormatFloat(r.comeBack.Seconds(), 'f', 2, 64))
 	}
 	r.log("refused", err)
 	r.measure(unit.OutcomeNotRun, fault.Name(err))
@@ -422,6 +423,9 @@
 			"weights", uint64(c.Weights), "missing-tokens", int64(c.Missing), "again-tokens", int64(c.Again), "source", c.Source, "save", c.Save != "",
 			"weighed", c.Others, "paused", c.Paused, "load-age-ms", c.LoadAge.Milliseconds())
 	}
+	if r.comeBack > 0 {
+		attributes = append(attributes, "retry-after-ms", r.comeBack.Milliseconds(), "came-back", r.work.Returned)
+	}
 	if err != nil {
 		attributes = append(attributes, "cause", err.Error())
 	}
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -170,7 +170,7 @@
 	}
 	reply := h.Engines.Order(ctx, e, *action.Order)
 	h.Log.Info("weights-ordered", "endpoint", string(e.ID), "model", string(action.Order.Model), "weights", uint64(action.Order.Number),
-		"fencing", action.Order.Fencing, "expected", action.Order.Expected, "reply", reply.String())
+		"fencing", action.Order.Fencing, "expected", action.Order.Expected, "go-on", action.Order.GoOn, "reply", reply.String())
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.planner.Answered(h.Timer.Now(), action, reply)
