--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -400,3 +400,29 @@
 	h.Sweep(t.Context())
 	assert.Assert(t, ctx.Err() != nil)
 }
+
+// Guards against new callers that are taken for ones who came back, and against callers who came back that aren't known again.
+func TestACallerWithLessTimeCameBack(t *testing.T) {
+	cases := []struct {
+		name string
+		left []time.Duration // of callers in their order
+		last bool            // whether the last one came back
+	}{
+		{name: "first", left: []time.Duration{4 * time.Second}},
+		{name: "all alike", left: []time.Duration{4 * time.Second, 4 * time.Second}},
+		{name: "a little time on the way", left: []time.Duration{4 * time.Second, 3950 * time.Millisecond}},
+		{name: "after a refusal", left: []time.Duration{4 * time.Second, 3700 * time.Millisecond}, last: true},
+		{name: "no time stated", left: []time.Duration{4 * time.Second, 0}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h := newTestHandler(t)
+			came := false
+			for _, left := range c.left {
+				r := &request{h: h, call: &Call{Patience: left}, route: &table.Route{Name: "r"}}
+				came = r.returned()
+			}
+			assert.Equal(t, came, c.last)
+		})
+	}
+}
--- /dev/null
+++ b/internal/routing/assign/admission_test.go
@@ -0,0 +1,32 @@
+package assign
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against callers that are refused a second time while new ones are let in.
+func TestCallersWhoCameBackGoBeforeNewOnes(t *testing.T) {
+	cases := []struct {
+		name          string
+		waiting       time.Duration
+		fresh, second bool
+	}{
+		{name: "short", waiting: 200 * time.Millisecond, fresh: true, second: true},
+		{name: "too long for new ones", waiting: 330 * time.Millisecond, second: true},
+		{name: "too long", waiting: 500 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			w := prompt("s", "o")
+			w.Shortest = 500 * time.Millisecond
+			choice := Choice{Waiting: c.waiting}
+			assert.Equal(t, choice.Admits(w), c.fresh)
+			w.Returned = true
+			assert.Equal(t, choice.Admits(w), c.second)
+			assert.Equal(t, choice.Excess(w) == 0, c.second)
+		})
+	}
+}
