Remove an index of holders and a way back from indexes that nothing used

Reading the change again: the reverse index of cached parts cost every host a list for each part, and nothing asked it.

--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -85,9 +85,8 @@
 type Registry struct {
 	entries   map[unit.EndpointID]*entry
 	byAddress map[string]unit.EndpointID // the newest lifetime at each address
-	byIndex   map[Index]*entry
-	order     *list.List // of *entry, by the number of their last report
-	last      Index      // the highest index that was given
+	order     *list.List                 // of *entry, by the number of their last report
+	last      Index                      // the highest index that was given
 	number    uint64
 	content   uint64 // number of the last change of an entry's content
 }
@@ -95,7 +94,7 @@
 // New returns a registry that knows no endpoint.
 func New() *Registry {
 	return &Registry{
-		entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}, byIndex: map[Index]*entry{}, order: list.New(),
+		entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}, order: list.New(),
 	}
 }
 
@@ -165,12 +164,12 @@
 		}
 	}
 	if ok {
-		r.forget(known)
+		r.order.Remove(known.place)
 	}
 	r.last++
 	e := &entry{Endpoint: Endpoint{Report: record.Report, Left: record.Left, HeardAt: heardAt}, index: r.last}
 	e.place = r.order.PushBack(e)
-	r.entries[record.ID], r.byIndex[e.index] = e, e
+	r.entries[record.ID] = e
 	if record.Address != "" {
 		r.byAddress[record.Address] = record.ID
 	}
@@ -254,17 +253,6 @@
 	return 0
 }
 
-// IDs returns the endpoints with those indexes, as far as they are known.
-func (r *Registry) IDs(indexes []Index) []unit.EndpointID {
-	var ids []unit.EndpointID
-	for _, index := range indexes {
-		if e, ok := r.byIndex[index]; ok {
-			ids = append(ids, e.ID)
-		}
-	}
-	return ids
-}
-
 // Indexes returns the indexes of endpoints, as far as they are known.
 func (r *Registry) Indexes(ids []unit.EndpointID) []Index {
 	var indexes []Index
@@ -335,7 +323,7 @@
 	for id, e := range r.entries {
 		if now.Sub(e.HeardAt) > forgetAfter {
 			delete(r.entries, id)
-			r.forget(e)
+			r.order.Remove(e.place)
 			if r.byAddress[e.Address] == id {
 				delete(r.byAddress, e.Address)
 			}
@@ -343,12 +331,6 @@
 	}
 }
 
-// forget drops the index of an entry that is removed or replaced.
-func (r *Registry) forget(e *entry) {
-	delete(r.byIndex, e.index)
-	r.order.Remove(e.place)
-}
-
 func (r *Registry) sorted() []*entry {
 	return slices.SortedFunc(maps.Values(r.entries), func(a, b *entry) int { return cmp.Compare(a.ID, b.ID) })
 }
--- a/internal/endpoints/registry/registry_test.go
+++ b/internal/endpoints/registry/registry_test.go
@@ -157,7 +157,6 @@
 	source.Hear(0, report("a", 2, 1))
 	reader.Merge(0, source.Since(0, first.Number), numbering)
 	assert.Assert(t, source.Index("a") != index)
-	assert.Equal(t, len(source.IDs([]Index{index})), 0)
 	later := unit.Moment(time.Second)
 	reader.Merge(later, Update{Number: 9, Beats: []Beat{{Index: index, Sequence: 7}}}, numbering)
 	heard, _ := reader.Endpoint("a")
--- a/internal/routing/holding/map.go
+++ b/internal/routing/holding/map.go
@@ -4,8 +4,6 @@
 package holding
 
 import (
-	"slices"
-
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -60,12 +58,11 @@
 
 // Map is a deterministic state machine, not safe for concurrent use.
 type Map struct {
-	places  map[Place]*account
-	holders map[Part][]Place // the places that hold a part
-	names   map[Index]Place  // of the map whose updates are merged
-	last    Index            // the highest index that was given
-	log     []step           // the last ones; the newest has the number number
-	number  uint64
+	places map[Place]*account
+	names  map[Index]Place // of the map whose updates are merged
+	last   Index           // the highest index that was given
+	log    []step          // the last ones; the newest has the number number
+	number uint64
 }
 
 // account is what one place holds.
@@ -76,7 +73,7 @@
 
 // New returns an empty map.
 func New() *Map {
-	return &Map{places: map[Place]*account{}, holders: map[Part][]Place{}, names: map[Index]Place{}}
+	return &Map{places: map[Place]*account{}, names: map[Index]Place{}}
 }
 
 // Apply carries out changes.
@@ -93,14 +90,12 @@
 		for _, part := range change.Added {
 			if _, ok := held.parts[part]; !ok {
 				held.parts[part] = struct{}{}
-				m.holders[part] = append(m.holders[part], change.Place)
 				m.note(step{place: change.Place, index: held.index, part: part})
 			}
 		}
 		for _, part := range change.Removed {
 			if _, ok := held.parts[part]; ok {
 				delete(held.parts, part)
-				m.drop(part, change.Place)
 				m.note(step{place: change.Place, index: held.index, part: part, removed: true})
 			}
 		}
@@ -114,35 +109,17 @@
 		held = &account{index: m.last}
 		m.places[place] = held
 	}
-	for part := range held.parts {
-		m.drop(part, place)
-	}
 	held.parts = map[Part]struct{}{}
 	m.note(step{place: place, index: held.index, cleared: true})
 	return held
 }
 
-func (m *Map) drop(part Part, place Place) {
-	holders := m.holders[part]
-	if at := slices.Index(holders, place); at >= 0 {
-		holders = slices.Delete(holders, at, at+1)
-	}
-	if len(holders) == 0 {
-		delete(m.holders, part)
-		return
-	}
-	m.holders[part] = holders
-}
-
 // Forget drops a place of which nothing is known any more.
 func (m *Map) Forget(place Place) {
 	held, ok := m.places[place]
 	if !ok {
 		return
 	}
-	for part := range held.parts {
-		m.drop(part, place)
-	}
 	delete(m.places, place)
 	m.note(step{place: place, index: held.index, gone: true})
 }
@@ -160,7 +137,6 @@
 func (m *Map) Merge(update Update) []Change {
 	if update.Whole {
 		clear(m.places)
-		clear(m.holders)
 		clear(m.names)
 	}
 	changes := make([]Change, 0, len(update.Changes))
@@ -268,11 +244,6 @@
 	return 0
 }
 
-// Holders returns the places that hold a part. The caller must not change it.
-func (m *Map) Holders(part Part) []Place {
-	return m.holders[part]
-}
-
 // Known reports whether the events of a place are followed.
 func (m *Map) Known(place Place) bool {
 	_, ok := m.places[place]
