Bound the questions for events that a control host asks

Cause: each place is asked again 60 ms after its answer.

Change: the pause grows with the number of followed places, so that a control host asks at most 400 times a second. Up to 24 places nothing changes, which covers the sites of up to 120 engines; at 300 engines events are 90 ms older.

--- a/internal/host/hub/feeds.go
+++ b/internal/host/hub/feeds.go
@@ -19,8 +19,11 @@
 	feedInterval = 250 * time.Millisecond
 	// feedWait is how long a place may hold a question for events, and feedTimeout bounds the question.
 	feedWait, feedTimeout = time.Second, 1800 * time.Millisecond
-	// feedPause lets events gather between two questions.
+	// feedPause lets events gather between two questions to a place.
 	feedPause = 60 * time.Millisecond
+	// feedRate bounds the questions that a control host asks in a second. One is taken to cost half a millisecond of a core with its
+	// answer, so that these take a fifth of it.
+	feedRate = 400
 	// feedRetry is the pause after a failed question.
 	feedRetry = 400 * time.Millisecond
 	// feedFailures is the number of failed questions in a row after which nothing is known of a place.
@@ -49,6 +52,7 @@
 			wanted[place] = true
 		}
 	}
+	h.following.Store(int64(len(wanted)))
 	for place, stop := range h.feeds {
 		if !wanted[place] {
 			stop()
@@ -145,7 +149,7 @@
 		}
 		since, epoch = feed.Next, feed.Epoch
 		h.held(place.place, cleared, feed.Events)
-		timer.Sleep(ctx, feedPause)
+		timer.Sleep(ctx, pauseBetween(int(h.following.Load())))
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -154,6 +158,11 @@
 	h.settle(place.place)
 }
 
+// pauseBetween is the pause between two questions to a place where so many places are followed.
+func pauseBetween(places int) time.Duration {
+	return max(feedPause, time.Duration(places)*time.Second/feedRate)
+}
+
 func (h *Hub) forget(place feedPlace, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/host/hub/feeds_test.go
+++ b/internal/host/hub/feeds_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -110,3 +111,16 @@
 	assert.Assert(t, ok)
 	assert.Assert(t, known.Draining)
 }
+
+// Guards against control hosts that do nothing but ask engines for events: at 3,001 engines each asked 600 of them every 60 ms. The
+// bound is a fifth of a core at half a millisecond a question.
+func TestQuestionsForEventsAreBounded(t *testing.T) {
+	cases := []struct {
+		places int
+		pause  time.Duration
+	}{{1, feedPause}, {24, feedPause}, {60, 150 * time.Millisecond}, {600, 1500 * time.Millisecond}}
+	for _, c := range cases {
+		assert.Equal(t, pauseBetween(c.places), c.pause)
+		assert.Assert(t, float64(c.places)/c.pause.Seconds() <= 400)
+	}
+}
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/oklog/run"
@@ -92,6 +93,8 @@
 	leaders *leader.Caller
 	recall  *recall.File                     // used by the loop that saves only
 	feeds   map[feedPlace]context.CancelFunc // used by the loop that follows only
+	// following is the number of places in feeds.
+	following atomic.Int64
 
 	mu       sync.Mutex
 	registry *registry.Registry
