--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -100,7 +100,7 @@
 		since, held = 0, ^uint64(0)
 		entry.load, entry.number, entry.included = nil, 0, 0
 	}
-	h.name(now, request.Shared)
+	h.hearShared(now, request.Shared)
 	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.Since(held)}
 	if h.loads.at > entry.toldAt && now.Sub(entry.toldAt) >= pauseAfter(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.Included, answer.HasLoads = h.loads.packed, now.Sub(h.loads.at), entry.included, true
@@ -130,9 +130,9 @@
 	return located
 }
 
-// name takes names of shared parts from an entry host.
-func (h *Hub) name(now unit.Moment, names []sharing.Name) {
-	h.naming = append(h.naming, h.shared.Hear(now, names)...)
+// hearShared takes names of shared parts from an entry host.
+func (h *Hub) hearShared(now unit.Moment, names []sharing.Name) {
+	h.newlyShared = append(h.newlyShared, h.shared.Hear(now, names)...)
 }
 
 func (h *Hub) entryHosts(now unit.Moment) int {
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -96,25 +96,25 @@
 	// following is the number of places in feeds.
 	following atomic.Int64
 
-	mu       sync.Mutex
-	registry *registry.Registry
-	page     book.Page
-	weights  map[unit.ModelName]book.WeightsNumber
-	entries  map[unit.HostName]entryState
-	others   map[unit.HostName]otherState
-	planner  *upgrade.Planner
-	leads    bool
-	own      *holding.Map                   // cached parts at the places that this host follows
-	holdings *holding.Map                   // at all places
-	mirrors  map[unit.HostName]*holding.Map // what the other control hosts follow
-	owners   map[holding.Place]unit.HostName
-	shared   *sharing.Filter
-	naming   []sharing.Name // shared parts of which the other control hosts aren't told yet
-	loads    loads
-	store    string // address of the table's store
-	storeOf  table.Version
-	saved    uint64 // number of the registry's content that was saved last
-	changes  int    // of the book that aren't saved
+	mu          sync.Mutex
+	registry    *registry.Registry
+	page        book.Page
+	weights     map[unit.ModelName]book.WeightsNumber
+	entries     map[unit.HostName]entryState
+	others      map[unit.HostName]otherState
+	planner     *upgrade.Planner
+	leads       bool
+	own         *holding.Map                   // cached parts at the places that this host follows
+	holdings    *holding.Map                   // at all places
+	mirrors     map[unit.HostName]*holding.Map // what the other control hosts follow
+	owners      map[holding.Place]unit.HostName
+	shared      *sharing.Filter
+	newlyShared []sharing.Name // shared parts of which the other control hosts aren't told yet
+	loads       loads
+	store       string // address of the table's store
+	storeOf     table.Version
+	saved       uint64 // number of the registry's content that was saved last
+	changes     int    // of the book that aren't saved
 }
 
 // entryState is what an entry host told last.
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -28,9 +28,9 @@
 	now := h.Timer.Now()
 	h.mu.Lock()
 	state := State{
-		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), Entries: h.ownEntries(now), Leader: h.leads, DataCentre: h.DataCentre, Shared: h.naming,
+		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), Entries: h.ownEntries(now), Leader: h.leads, DataCentre: h.DataCentre, Shared: h.newlyShared,
 	}
-	h.naming = nil
+	h.newlyShared = nil
 	if h.leads {
 		state.Updating, state.Upcoming = h.registry.Indexes(h.planner.Updating()), h.registry.Indexes(h.planner.Upcoming())
 	}
