--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -259,7 +259,7 @@
 			continue
 		}
 		choice.Others++
-		c := candidate{replica: r, tier: a.tier(now, r, w, behind)}
+		c := candidate{tier: a.tier(now, r, w, behind)}
 		c.value = a.value(now, r, w, expected, supply) - rankCost*math.Log2(1+float64(p.homes.rank(i)))
 		if c.tier == tierPaused {
 			choice.Paused++
--- a/internal/routing/assign/spread.go
+++ b/internal/routing/assign/spread.go
@@ -86,9 +86,8 @@
 
 // candidate is an endpoint that was weighed.
 type candidate struct {
-	replica *replica
-	tier    tier
-	value   float64
-	room    float64
-	choice  Choice
+	tier   tier
+	value  float64
+	room   float64
+	choice Choice
 }
