Log by which content an endpoint broke off and whether it is down

An attempt that ended without an answer left no trace by which two requests of the same content could be told from two different ones, nor whether the endpoint or only a connection had ended. The lines attempt-ended now carry the digest of the content and the endpoint's lifetime, and an endpoint that refuses a connection after it broke off is logged as down and counted. No decision changes.

--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net"
 	"net/http"
@@ -39,6 +40,9 @@
 	tcpUserTimeout = 18
 )
 
+// NotListening is a connection that the endpoint's machine refused: it is reachable, and no process listens at the address.
+var NotListening = fault.Unreachable.NewSubtype("not-listening")
+
 var (
 	connectionsOpened    = metrics.NewCounter("citronglade_endpoint_connections_opened_total")
 	connectionsForgotten = metrics.NewCounter("citronglade_endpoint_connections_forgotten_total")
@@ -139,7 +143,11 @@
 	socket, err := dialer.DialContext(ctx, "tcp", at.address)
 	if err != nil {
 		p.release(at)
-		return nil, fault.Unreachable.Wrap(err, "cannot connect to %s at %s", at.endpoint, at.address)
+		kind := fault.Unreachable
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			kind = NotListening
+		}
+		return nil, kind.Wrap(err, "cannot connect to %s at %s", at.endpoint, at.address)
 	}
 	connectionsOpened.Inc()
 	c := newConnection(p, at, socket)
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -167,9 +167,18 @@
 	if err != nil {
 		cause = err.Error()
 	}
-	r.h.Log.Info("attempt-ended", "request", string(r.call.ID), "endpoint", string(choice.Endpoint), "ending", ending.String(),
+	attributes := []any{
+		"request", string(r.call.ID), "endpoint", string(choice.Endpoint), "ending", ending.String(),
 		"attempt", r.sends, "expected-ms", choice.Expected.Milliseconds(), "missing-tokens", int64(choice.Missing),
-		"load-age-ms", choice.LoadAge.Milliseconds(), "weighed", choice.Others, "cause", cause)
+		"load-age-ms", choice.LoadAge.Milliseconds(), "weighed", choice.Others, "cause", cause,
+	}
+	if ending.Unanswered() {
+		attributes = append(attributes, "content", r.content().String(), "lifetime", choice.Born)
+	}
+	r.h.Log.Info("attempt-ended", attributes...)
+	if ending == assign.EndedBroken {
+		go r.h.inspect(choice, r.service)
+	}
 }
 
 // notRun handles an endpoint that refused the request.
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -150,6 +150,7 @@
 	customer *table.Customer // nil on public routes
 	work     assign.Work
 	body     []byte
+	digest   unit.Digest // see content, zero until it is asked for
 	deadline unit.Moment
 
 	comeBack  time.Duration  // named in a refusal, 0 if there is none
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -268,7 +268,7 @@
 			c.room = p.room[i]
 		}
 		c.choice = Choice{
-			Endpoint: r.ID, Address: r.Address, Weights: r.weights(w.Model), Expected: expected, Waiting: behind, Missing: supply.missing, Value: c.value,
+			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Expected: expected, Waiting: behind, Missing: supply.missing, Value: c.value,
 			Source: supply.source, Save: supply.save, Again: supply.again, Copied: supply.copied,
 		}
 		weighed = append(weighed, c)
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -137,6 +137,7 @@
 // Choice is an assigned endpoint and what the decision rested on.
 type Choice struct {
 	Endpoint unit.EndpointID
+	Born     int64 // start of the endpoint's lifetime, see registry.Report
 	Address  string
 	Weights  book.WeightsNumber // of the request's model, 0 if unknown
 	Expected time.Duration      // until the first byte of the answer
@@ -178,6 +179,11 @@
 
 var endingNames = [...]string{"well", "full", "elsewhere", "failed", "broken", "silent", "unreachable", "by-caller"}
 
+// Unanswered reports whether the endpoint got the request and gave no whole answer, as when it crashes.
+func (e Ending) Unanswered() bool {
+	return e == EndedBroken || e == EndedSilent
+}
+
 // String returns the name that logs use.
 func (e Ending) String() string {
 	return endingNames[e]
