Keep requests that crash endpoints from further ones on hosts that find each other

What callers saw: a request under which three endpoints had ended went on to others as often as its caller repeated it, and each of them ended, with all that it was answering.

Cause: the register of contents that crashed endpoints was wired into the path of the host verb only. Class: a safeguard that one of two paths for the same duty lacks.

Evidence: TestARequestThatCrashesReplicasIsKeptFromFurtherOnes failed on: one content under two request ids at four endpoints of one host, 502 instead of 503 for the repeat, each attempt followed by endpoint-down.

What changes: an answer that breaks off makes the host look whether the endpoint still takes connections; a refused connection, or a later lifetime at the same place without notice, is a crash, and the contents that broke off there are held for it (routing/crash). Two crashes of different lifetimes put a content in quarantine (routing/quarantine, unchanged rule). A request whose content is suspected waits for that look before it is sent again. Entry hosts tell crashes with their next question and learn of others with the answer, control hosts tell each other and keep them over a restart. A success clears a content: requests that were merely running at an endpoint that crashed are not suspected for long, which the older path lacked as well and gains with the register. A refusal for quarantine is a 503, which promises that the request has not run, with the time until the quarantine ends.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -158,6 +158,7 @@
 	r.h.assigner.End(r.h.Now(), flight, ending)
 	r.h.mu.Unlock()
 	if ending == assign.EndedWell {
+		r.served()
 		return
 	}
 	if ending == assign.EndedUnreachable {
@@ -176,8 +177,8 @@
 		attributes = append(attributes, "content", r.content().String(), "lifetime", choice.Born)
 	}
 	r.h.Log.Info("attempt-ended", attributes...)
-	if ending == assign.EndedBroken {
-		go r.h.inspect(choice, r.service)
+	if ending.Unanswered() {
+		r.broke(choice, ending)
 	}
 }
 
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -8,13 +8,19 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 
+	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crash"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
-var endpointsDown = metrics.NewCounter("citronglade_endpoints_found_down_total")
+var (
+	endpointsDown       = metrics.NewCounter("citronglade_endpoints_found_down_total")
+	contentsQuarantined = metrics.NewCounter("citronglade_contents_quarantined_total")
+)
 
 // content returns a digest of what an endpoint is asked: customer, method, host, path without its query, and body. A caller that
 // sends the same request again does so with another request id.
@@ -37,12 +43,124 @@
 	return r.digest
 }
 
+// WithRegister runs use with the contents that crashed endpoints, which nothing else uses meanwhile.
+func (h *Handler) WithRegister(use func(*quarantine.Register)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	use(h.register)
+}
+
+// quarantined fails with fault.Quarantined if the request's content has crashed endpoints.
+func (r *request) quarantined() error {
+	empty := true
+	r.h.WithRegister(func(q *quarantine.Register) { empty = q.Empty() })
+	if empty {
+		return nil
+	}
+	content, now := r.content(), r.h.Now()
+	var until unit.Moment
+	found := false
+	r.h.WithRegister(func(q *quarantine.Register) { until, found = q.Check(now, content) })
+	if !found {
+		return nil
+	}
+	return fault.Quarantined.New("content %s has crashed endpoints and isn't run for now", content).
+		WithProperty(fault.RetryAfter, until.Sub(now))
+}
+
+// served notes that the content doesn't crash every endpoint.
+func (r *request) served() {
+	h := r.h
+	h.mu.Lock()
+	empty := h.register.Empty() && h.crashes.Empty()
+	h.mu.Unlock()
+	if empty {
+		return
+	}
+	content, now := r.content(), h.Now()
+	h.mu.Lock()
+	h.crashes.Served(content)
+	cleared := h.register.Served(now, content)
+	h.mu.Unlock()
+	if cleared {
+		h.Log.Info("content-cleared", "request", string(r.call.ID), "content", content.String())
+	}
+}
+
+// broke notes that an endpoint gave no whole answer and finds out whether it has crashed. A request that may have crashed another
+// one before waits for that.
+func (r *request) broke(choice assign.Choice, ending assign.Ending) {
+	h, content, life := r.h, r.content(), crash.Lifetime{Endpoint: choice.Endpoint, Born: choice.Born}
+	now := h.Now()
+	h.mu.Lock()
+	suspect := h.crashes.Suspects(content) || h.register.Suspects(content)
+	crashed := h.crashes.Broke(now, life, content)
+	h.mu.Unlock()
+	switch {
+	case crashed:
+		h.blame(life, []unit.Digest{content})
+	case ending != assign.EndedBroken: // a silent endpoint doesn't refuse a connection
+	case suspect:
+		h.inspect(life, choice.Address, r.service)
+	default:
+		go h.inspect(life, choice.Address, r.service)
+	}
+}
+
 // inspect finds out whether an endpoint that broke off an answer is down, or only the connection to it.
-func (h *Handler) inspect(choice assign.Choice, service *table.Service) {
-	err := h.Pool.Check(context.Background(), choice.Endpoint, choice.Address, h.Connections(service))
-	if err == nil || !errorx.IsOfType(err, exchange.NotListening) {
+func (h *Handler) inspect(life crash.Lifetime, address string, service *table.Service) {
+	err := h.Pool.Check(context.Background(), life.Endpoint, address, h.Connections(service))
+	if err != nil && errorx.IsOfType(err, exchange.NotListening) {
+		h.Crashed(life, err.Error())
+	}
+}
+
+// Lifetimes returns the lifetimes of endpoints at which answers broke off lately.
+func (h *Handler) Lifetimes() []crash.Lifetime {
+	now := h.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.crashes.Lifetimes(now)
+}
+
+// Crashed notes that an endpoint's lifetime has ended without notice.
+func (h *Handler) Crashed(life crash.Lifetime, cause string) {
+	now := h.Now()
+	h.mu.Lock()
+	contents := h.crashes.Crashed(now, life)
+	h.mu.Unlock()
+	if len(contents) == 0 {
 		return
 	}
 	endpointsDown.Inc()
-	h.Log.Warn("endpoint-down", "endpoint", string(choice.Endpoint), "lifetime", choice.Born, "service", string(service.Name), "cause", err.Error())
+	h.Log.Warn("endpoint-down", "endpoint", string(life.Endpoint), "lifetime", life.Born, "contents", len(contents), "cause", cause)
+	h.blame(life, contents)
+}
+
+// Leaves notes that an endpoint's lifetime ends as announced.
+func (h *Handler) Leaves(life crash.Lifetime) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes.Leaves(life)
+}
+
+// blame notes that contents were running at an endpoint when it crashed.
+func (h *Handler) blame(life crash.Lifetime, contents []unit.Digest) {
+	now := h.Now()
+	for _, content := range contents {
+		var before, quarantined bool
+		var until unit.Moment
+		h.WithRegister(func(q *quarantine.Register) {
+			_, before = q.Check(now, content)
+			quarantined = q.Crashed(now, quarantine.Notice{
+				Content: content, Endpoint: life.Endpoint, Incarnation: unit.Incarnation(life.Born), //nolint:gosec // told apart only
+			})
+			until, _ = q.Check(now, content)
+		})
+		if quarantined && !before {
+			contentsQuarantined.Inc()
+			h.Log.Warn("content-quarantined", "content", content.String(), "endpoint", string(life.Endpoint), "lifetime", life.Born,
+				"for-ms", until.Sub(now).Milliseconds())
+		}
+	}
 }
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -22,6 +22,8 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/allowance"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crash"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
 const (
@@ -67,6 +69,8 @@
 	mu       sync.Mutex
 	assigner *assign.Assigner
 	ledger   *allowance.Ledger
+	crashes  *crash.Watch
+	register *quarantine.Register
 	watched  map[*assign.Flight]watchedAttempt
 	fresh    map[string]time.Duration // by route, the time that callers have who weren't refused before
 	running  int
@@ -82,6 +86,7 @@
 func New(d Dependencies) *Handler {
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: allowance.New(d.Allowance),
+		crashes: crash.New(), register: quarantine.New(),
 		watched: map[*assign.Flight]watchedAttempt{}, fresh: map[string]time.Duration{},
 	}
 }
@@ -256,6 +261,10 @@
 // attempts sends the request until an endpoint has answered it or nothing more may be tried.
 func (r *request) attempts(ctx context.Context) {
 	for {
+		if err := r.quarantined(); err != nil {
+			r.fail(ctx, err)
+			return
+		}
 		choice, flight, err := r.choose()
 		if err != nil {
 			r.fail(ctx, err)
@@ -373,7 +382,10 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		room, _ := fault.RetryAfterOf(err) // 0 if it isn't known
-		r.comeBack = comeback.Refusal{Room: room, Left: r.left(), Draw: rand.Float64()}.After()
+		r.comeBack = room
+		if !errorx.IsOfType(err, fault.Quarantined) {
+			r.comeBack = comeback.Refusal{Room: room, Left: r.left(), Draw: rand.Float64()}.After()
+		}
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(r.comeBack.Seconds(), 'f', 2, 64))
 	}
 	r.log("refused", err)
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -133,7 +133,7 @@
 	result := &table.Table{
 		Version: 1, Services: []table.Service{{Name: "s", MaxConnections: 10}},
 		Routes: []table.Route{
-			route("safe", table.KindSafe, 2, false), route("once", table.KindOnce, 1, false), route("keyed", table.KindOnce, 1, false),
+			route("safe", table.KindSafe, 2, false), route("wide", table.KindSafe, 3, false), route("once", table.KindOnce, 1, false), route("keyed", table.KindOnce, 1, false),
 			route("spread", table.KindOnce, 2, false),
 			route("stream", table.KindStream, 1, false), route("resumable", table.KindStream, 2, true),
 		},
--- a/internal/control/recall/file.go
+++ b/internal/control/recall/file.go
@@ -17,6 +17,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/book"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
 // slots is the number of files that are written in turn, so that a torn write leaves the one before it whole.
@@ -27,6 +28,7 @@
 	Page      book.Page                             `cbor:"1,keyasint"`
 	Weights   map[unit.ModelName]book.WeightsNumber `cbor:"2,keyasint"`
 	Endpoints registry.Update                       `cbor:"3,keyasint"`
+	Crashes   []quarantine.Notice                   `cbor:"4,keyasint,omitempty"`
 }
 
 // sealed is the content of one file.
--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -307,6 +307,16 @@
 	return e.Endpoint, true
 }
 
+// Replaced reports whether a later lifetime is known under the same id, or under another one at the same address.
+func (r *Registry) Replaced(id unit.EndpointID, born int64) bool {
+	e, ok := r.entries[id]
+	if !ok || e.Born != born {
+		return ok && e.Born > born
+	}
+	other, ok := r.at(e.Address)
+	return ok && other.ID != id && other.Born > born
+}
+
 // Present returns the endpoints that haven't left, by id.
 func (r *Registry) Present() []Endpoint {
 	var present []Endpoint
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/allowance"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/tally"
 )
 
@@ -84,8 +85,11 @@
 	epoch     unit.Incarnation
 	number    uint64
 	held      uint64 // number of the last change of cached parts
-	inTouch   bool
-	served    atomic.Bool // an endpoint has been known
+	// crashesTold is the number of the last change of this host's crashes that the control host has, and crashesRead that of the
+	// control host's that was read.
+	crashesTold, crashesRead uint64
+	inTouch                  bool
+	served                   atomic.Bool // an endpoint has been known
 
 	told    []toldLoad // the last ones, used by sync only
 	applied applied    // used by sync only
@@ -181,7 +185,9 @@
 		g.lost(name, err.Error())
 		return
 	}
+	g.takeCrashes(name, &request, &answer) // first, as the host may begin to serve with what it takes next
 	g.take(name, &answer)
+	g.judgeLifetimes()
 	if answer.Age > staleAfter {
 		g.lost(name, "the control host hears no majority for "+answer.Age.String())
 	}
@@ -200,6 +206,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.handler.WithRegister(func(q *quarantine.Register) { request.Crashes = q.Since(now, g.crashesTold) })
+	request.CrashesRead = g.crashesRead
 	g.hub = g.preferred(now)
 	load := tally.Tally{}
 	for id, l := range own {
@@ -293,6 +301,40 @@
 	g.apply(now, v, answer)
 }
 
+// takeCrashes takes what a control host told of contents that crashed endpoints.
+func (g *Gateway) takeCrashes(name unit.HostName, request *hub.SyncRequest, answer *hub.SyncAnswer) {
+	g.mu.Lock()
+	g.crashesTold, g.crashesRead = request.Crashes.Number, answer.Crashes.Number
+	if answer.Epoch != request.Epoch {
+		// The question held what another control host lacked.
+		g.crashesTold = 0
+	}
+	g.mu.Unlock()
+	var quarantined []unit.Digest
+	g.handler.WithRegister(func(q *quarantine.Register) { quarantined = q.Merge(g.Timer.Now(), answer.Crashes.Notices) })
+	for _, content := range quarantined {
+		g.Log.Warn("content-quarantined", "content", content.String(), "told-by", string(name))
+	}
+}
+
+// judgeLifetimes tells the handler what became of endpoints that broke off answers.
+func (g *Gateway) judgeLifetimes() {
+	for _, l := range g.handler.Lifetimes() {
+		g.mu.Lock()
+		replaced := g.registry.Replaced(l.Endpoint, l.Born)
+		e, known := g.registry.Endpoint(l.Endpoint)
+		g.mu.Unlock()
+		switch {
+		case known && e.Born == l.Born && e.Draining:
+			g.handler.Leaves(l)
+		case replaced:
+			g.handler.Crashed(l, "a later lifetime has reported")
+		case known && e.Born == l.Born && e.Left:
+			g.handler.Leaves(l)
+		}
+	}
+}
+
 // view is what one answer says of the endpoints.
 type view struct {
 	changed            bool
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 	"github.com/citronglade/citronglade/internal/routing/tally"
 )
@@ -94,14 +95,15 @@
 func (h *Hub) answer(from unit.HostName, now unit.Moment, request SyncRequest, load tally.Tally) SyncAnswer {
 	entry := h.entries[from]
 	entry.at, entry.load, entry.number = now, load, request.LoadNumber
-	since, held := request.Number, request.Holding
+	since, held, crashes := request.Number, request.Holding, request.CrashesRead
 	if request.Epoch != h.Incarnation {
 		// The indexes are those of another hub.
-		since, held = 0, ^uint64(0)
+		since, held, crashes = 0, ^uint64(0), 0
 		entry.load, entry.number, entry.included = nil, 0, 0
 	}
 	h.hearShared(now, request.Shared)
-	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.Since(held)}
+	h.hearCrashes(now, from, request.Crashes)
+	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.Since(held), Crashes: h.crashes.Since(now, crashes)}
 	if h.loads.at > entry.toldAt && now.Sub(entry.toldAt) >= pauseAfter(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.Included, answer.HasLoads = h.loads.packed, now.Sub(h.loads.at), entry.included, true
 		entry.toldAt = now
@@ -135,6 +137,13 @@
 	h.newlyShared = append(h.newlyShared, h.shared.Hear(now, names)...)
 }
 
+// hearCrashes takes contents that crashed endpoints from another host. The lock must be held.
+func (h *Hub) hearCrashes(now unit.Moment, from unit.HostName, update quarantine.Update) {
+	for _, content := range h.crashes.Merge(now, update.Notices) {
+		h.Log.Warn("content-quarantined", "content", content.String(), "told-by", string(from))
+	}
+}
+
 func (h *Hub) entryHosts(now unit.Moment) int {
 	count := h.ownEntries(now)
 	for _, other := range h.others {
@@ -187,7 +196,7 @@
 	if err != nil {
 		return err
 	}
-	heard := otherState{at: now, numbering: known.numbering, readRegistry: known.readRegistry, read: known.read, loads: tally.Tally{}}
+	heard := otherState{at: now, numbering: known.numbering, readRegistry: known.readRegistry, read: known.read, readCrashes: known.readCrashes, loads: tally.Tally{}}
 	if state.RegistryAfter <= known.readRegistry && state.Update.Number >= known.readRegistry {
 		h.registry.Merge(now, state.Update, known.numbering)
 		heard.readRegistry = state.Update.Number
@@ -196,13 +205,17 @@
 		h.mergeHoldings(from, state.Holding)
 		heard.read = state.Holding.Number
 	}
+	h.hearCrashes(now, from, state.Crashes)
+	if state.CrashesAfter <= known.readCrashes && state.Crashes.Number >= known.readCrashes {
+		heard.readCrashes = state.Crashes.Number
+	}
 	h.shared.Hear(now, state.Shared)
 	for index, load := range told {
 		if id, ok := known.numbering.ID(index); ok {
 			heard.loads[h.registry.Index(id)] = load
 		}
 	}
-	state.Update, state.Holding, state.Loads, state.Shared = registry.Update{}, holding.Update{}, nil, nil
+	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, holding.Update{}, nil, nil, quarantine.Update{}
 	heard.State = state
 	h.others[from] = heard
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -28,6 +28,7 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 	"github.com/citronglade/citronglade/internal/routing/tally"
 )
@@ -110,11 +111,14 @@
 	owners      map[holding.Place]unit.HostName
 	shared      *sharing.Filter
 	newlyShared []sharing.Name // shared parts of which the other control hosts aren't told yet
+	crashes     *quarantine.Register
 	loads       loads
 	store       string // address of the table's store
 	storeOf     table.Version
 	saved       uint64 // number of the registry's content that was saved last
 	changes     int    // of the book that aren't saved
+	// savedCrashes is the number of the last change of crashes that was saved.
+	savedCrashes uint64
 }
 
 // entryState is what an entry host told last.
@@ -141,6 +145,7 @@
 	loads        tally.Tally // by the indexes of the registry here
 	readRegistry uint64      // number of its last change of endpoints that was read here
 	read         uint64      // number of its last change of cached parts that was read here
+	readCrashes  uint64      // number of its last change of crashes that was read here
 }
 
 // New returns a hub that Run starts.
@@ -150,7 +155,7 @@
 		entries: map[unit.HostName]entryState{}, others: map[unit.HostName]otherState{}, planner: upgrade.New(d.LeaseWait),
 		own: holding.New(), holdings: holding.New(), mirrors: map[unit.HostName]*holding.Map{},
 		owners: map[holding.Place]unit.HostName{}, feeds: map[feedPlace]context.CancelFunc{},
-		shared: sharing.New(),
+		shared: sharing.New(), crashes: quarantine.New(),
 	}
 	h.leaders = leader.New(d.Call, d.Seeds())
 	h.recall = recall.New(d.DataFolder)
@@ -173,23 +178,29 @@
 		state.Endpoints.Records[i].Age = 0
 	}
 	h.registry.Merge(h.Timer.Now(), state.Endpoints, &registry.Numbering{})
+	h.crashes.Merge(h.Timer.Now(), state.Crashes)
 	h.page = state.Page
 	if state.Weights != nil {
 		h.weights = state.Weights
 	}
-	h.Log.Info("state-restored", "table-version", uint64(h.page.Version), "endpoints", len(state.Endpoints.Records))
+	h.Log.Info("state-restored", "table-version", uint64(h.page.Version), "endpoints", len(state.Endpoints.Records),
+		"crashes", len(state.Crashes))
 }
 
 // save keeps what this host knows for its next start, if it has changed.
 func (h *Hub) save(context.Context) {
 	h.mu.Lock()
 	content := h.registry.ContentNumber()
-	if content == h.saved && h.changes == 0 {
+	crashes := h.crashes.Number()
+	if content == h.saved && h.changes == 0 && crashes == h.savedCrashes {
 		h.mu.Unlock()
 		return
 	}
-	state := recall.State{Page: h.page, Weights: maps.Clone(h.weights), Endpoints: h.registry.Since(h.Timer.Now(), 0)}
-	h.saved, h.changes = content, 0
+	now := h.Timer.Now()
+	state := recall.State{
+		Page: h.page, Weights: maps.Clone(h.weights), Endpoints: h.registry.Since(now, 0), Crashes: h.crashes.Export(now),
+	}
+	h.saved, h.changes, h.savedCrashes = content, 0, crashes
 	h.mu.Unlock()
 	if err := h.recall.Save(state); err != nil {
 		h.Log.Warn("state-not-saved", "cause", err.Error())
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -40,13 +40,14 @@
 			continue
 		}
 		other := h.others[name]
-		registryRead, holdingRead := other.ReadRegistry, other.Read
+		registryRead, holdingRead, crashesRead := other.ReadRegistry, other.Read, other.ReadCrashes
 		if other.ReadEpoch != h.Incarnation {
-			registryRead, holdingRead = 0, 0
+			registryRead, holdingRead, crashesRead = 0, 0, 0
 		}
 		state.Update, state.Holding = h.registry.Since(now, registryRead), h.own.Since(holdingRead)
-		state.RegistryAfter, state.HoldingAfter = registryRead, holdingRead
-		state.ReadEpoch, state.ReadRegistry, state.Read = other.Epoch, other.readRegistry, other.read
+		state.Crashes = h.crashes.Since(now, crashesRead)
+		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter = registryRead, holdingRead, crashesRead
+		state.ReadEpoch, state.ReadRegistry, state.Read, state.ReadCrashes = other.Epoch, other.readRegistry, other.read, other.readCrashes
 		messages[name] = state
 	}
 	h.mu.Unlock()
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
@@ -26,6 +27,10 @@
 	Holding uint64 `cbor:"5,keyasint"`
 	// Shared names parts of prompts that several requests share.
 	Shared []sharing.Name `cbor:"7,keyasint,omitempty"`
+	// Crashes is what that hub lacks of the contents that crashed endpoints, and CrashesRead the number up to which the host has
+	// read the hub's.
+	Crashes     quarantine.Update `cbor:"8,keyasint"`
+	CrashesRead uint64            `cbor:"9,keyasint,omitempty"`
 }
 
 // ControlHost is a control host that was heard lately.
@@ -54,6 +59,8 @@
 	Control    []ControlHost    `cbor:"9,keyasint"`
 	Upcoming   []registry.Index `cbor:"10,keyasint,omitempty"` // updated next
 	Holding    holding.Update   `cbor:"11,keyasint"`
+	// Crashes is what the host lacks of the contents that crashed endpoints.
+	Crashes quarantine.Update `cbor:"15,keyasint"`
 }
 
 // State is what control hosts tell each other. Indexes are those of the sender's registry.
@@ -78,6 +85,11 @@
 	// restarted lacks what came before, without which indexes mean nothing to it.
 	RegistryAfter uint64 `cbor:"14,keyasint,omitempty"`
 	HoldingAfter  uint64 `cbor:"15,keyasint,omitempty"`
+	// Crashes is what the reader lacks of the contents that crashed endpoints, CrashesAfter the number after which it begins, and
+	// ReadCrashes says up to which number of the reader's own this control host has read.
+	Crashes      quarantine.Update `cbor:"16,keyasint"`
+	CrashesAfter uint64            `cbor:"17,keyasint,omitempty"`
+	ReadCrashes  uint64            `cbor:"18,keyasint,omitempty"`
 }
 
 // Feed is a piece of the events of an engine or store.
--- a/internal/routing/quarantine/register_test.go
+++ b/internal/routing/quarantine/register_test.go
@@ -136,3 +136,99 @@
 	r.forget(at(600))
 	assert.Equal(t, len(r.entries), 0)
 }
+
+// Guards against innocent contents that are kept in quarantine because they were running when two endpoints crashed, whichever host
+// sees their success and in whichever order the hosts hear of it.
+func TestASuccessEndsTheSuspicion(t *testing.T) {
+	cases := []struct {
+		name        string
+		play        func(here, there *Register)
+		quarantined bool
+	}{
+		{name: "served between the crashes", play: func(here, there *Register) {
+			here.Crashed(at(0), crashOf(content, "engine-1", 1))
+			here.Served(at(1), content)
+			here.Crashed(at(2), crashOf(content, "engine-2", 1))
+		}},
+		{name: "served after both", play: func(here, there *Register) {
+			here.Crashed(at(0), crashOf(content, "engine-1", 1))
+			here.Crashed(at(1), crashOf(content, "engine-2", 1))
+			here.Served(at(2), content)
+		}},
+		{name: "served elsewhere between the crashes", play: func(here, there *Register) {
+			here.Crashed(at(0), crashOf(content, "engine-1", 1))
+			there.Merge(at(0), here.Since(at(0), 0).Notices)
+			there.Served(at(1), content)
+			here.Merge(at(1), there.Since(at(1), 0).Notices)
+			here.Crashed(at(2), crashOf(content, "engine-2", 1))
+		}},
+		{name: "served before both", quarantined: true, play: func(here, there *Register) {
+			here.Crashed(at(0), crashOf(content, "engine-0", 1))
+			here.Served(at(1), content)
+			here.Crashed(at(2), crashOf(content, "engine-1", 1))
+			there.Crashed(at(2.1), crashOf(content, "engine-2", 1))
+			here.Merge(at(2.1), there.Since(at(2.1), 0).Notices)
+		}},
+		{name: "another content is served", quarantined: true, play: func(here, there *Register) {
+			here.Crashed(at(0), crashOf(content, "engine-1", 1))
+			here.Served(at(1), unit.Digest{9})
+			here.Crashed(at(2), crashOf(content, "engine-2", 1))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			here, there := New(), New()
+			c.play(here, there)
+			for range 3 {
+				there.Merge(at(3), here.Since(at(3), 0).Notices)
+				here.Merge(at(3), there.Since(at(3), 0).Notices)
+			}
+			assert.Equal(t, isQuarantined(here, at(3)), c.quarantined)
+			assert.Equal(t, isQuarantined(there, at(3)), c.quarantined)
+		})
+	}
+}
+
+// Guards against hosts that tell each other of the same crash or success for ever, since each adds the time that its message took,
+// and against a change that a host isn't told because it didn't fit the message.
+func TestPeersStopTellingWhatTheyKnow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hosts := []*Register{New(), New(), New()}
+		contents := rapid.IntRange(1, 200).Draw(t, "contents")
+		now := unit.Moment(0)
+		for i := range contents {
+			digest := unit.Digest{byte(i), byte(i >> 8), 1}
+			hosts[rapid.IntRange(0, 2).Draw(t, "first")].Crashed(now, crashOf(digest, "engine-1", 1))
+			hosts[rapid.IntRange(0, 2).Draw(t, "second")].Crashed(now, crashOf(digest, "engine-2", 1))
+			if rapid.Bool().Draw(t, "served") {
+				hosts[rapid.IntRange(0, 2).Draw(t, "third")].Served(now.Add(time.Millisecond), digest)
+			}
+		}
+		read := [3][3]uint64{}
+		told := 0
+		for range 40 {
+			now = now.Add(50 * time.Millisecond)
+			told = 0
+			for from, sender := range hosts {
+				for to, reader := range hosts {
+					if from == to {
+						continue
+					}
+					update := sender.Since(now, read[to][from])
+					read[to][from] = update.Number
+					told += len(update.Notices)
+					reader.Merge(now.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "delay"))*time.Millisecond), update.Notices)
+				}
+			}
+		}
+		assert.Equal(t, told, 0)
+		for i := range contents {
+			digest := unit.Digest{byte(i), byte(i >> 8), 1}
+			_, first := hosts[0].Check(now, digest)
+			for _, h := range hosts[1:] {
+				_, other := h.Check(now, digest)
+				assert.Equal(t, first, other, "content %d", i)
+			}
+		}
+	})
+}
