Test that crashes seen by different hosts reach a third one

Two hosts that ask different control hosts see a crash of one content each; a message between the control hosts is lost and one of them restarts. An innocent unused parameter of the tests before is renamed for the linter.

--- /dev/null
+++ b/internal/host/hub/crashes_test.go
@@ -0,0 +1,43 @@
+package hub
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/quarantine"
+	"github.com/citronglade/citronglade/internal/routing/tally"
+)
+
+// Guards against crashes that some hosts aren't told of: the two crashes of a content were seen by hosts that ask different control
+// hosts, a message is lost, and a control host restarts.
+func TestCrashesSeenByTwoHostsReachAThird(t *testing.T) {
+	first, second := newTestHub(t), newTestHub(t)
+	second.Name, first.Incarnation, second.Incarnation = "10.0.0.2", 1, 2
+	content := unit.Digest{7}
+	sees := func(h *Hub, entry unit.HostName, endpoint unit.EndpointID) {
+		seen := quarantine.New()
+		seen.Crashed(0, quarantine.Notice{Content: content, Endpoint: endpoint, Incarnation: 1})
+		h.answer(entry, 0, SyncRequest{Epoch: h.Incarnation, Crashes: seen.Since(0, 0)}, tally.Tally{})
+	}
+	knows := func(h *Hub) bool {
+		reader := quarantine.New()
+		reader.Merge(0, h.answer("10.0.1.9", 0, SyncRequest{Epoch: h.Incarnation}, tally.Tally{}).Crashes.Notices)
+		_, quarantined := reader.Check(0, content)
+		return quarantined
+	}
+	sees(first, "10.0.1.1", "e1")
+	sees(second, "10.0.1.2", "e2")
+	assert.Assert(t, !knows(first) && !knows(second))
+	first.Seeds = func() []unit.HostName { return []unit.HostName{"10.0.0.2"} }
+	first.Send = func(unit.HostName, string, []byte) {} // lost
+	first.tellOthers(t.Context())
+	exchange(t, first, second)
+	assert.Assert(t, knows(first) && knows(second))
+
+	first.save(t.Context())
+	again := New(first.Dependencies)
+	again.Incarnation = 3
+	assert.Assert(t, knows(again), "after a restart")
+}
--- a/internal/routing/quarantine/register_test.go
+++ b/internal/routing/quarantine/register_test.go
@@ -145,12 +145,12 @@
 		play        func(here, there *Register)
 		quarantined bool
 	}{
-		{name: "served between the crashes", play: func(here, there *Register) {
+		{name: "served between the crashes", play: func(here, _ *Register) {
 			here.Crashed(at(0), crashOf(content, "engine-1", 1))
 			here.Served(at(1), content)
 			here.Crashed(at(2), crashOf(content, "engine-2", 1))
 		}},
-		{name: "served after both", play: func(here, there *Register) {
+		{name: "served after both", play: func(here, _ *Register) {
 			here.Crashed(at(0), crashOf(content, "engine-1", 1))
 			here.Crashed(at(1), crashOf(content, "engine-2", 1))
 			here.Served(at(2), content)
@@ -169,7 +169,7 @@
 			there.Crashed(at(2.1), crashOf(content, "engine-2", 1))
 			here.Merge(at(2.1), there.Since(at(2.1), 0).Notices)
 		}},
-		{name: "another content is served", quarantined: true, play: func(here, there *Register) {
+		{name: "another content is served", quarantined: true, play: func(here, _ *Register) {
 			here.Crashed(at(0), crashOf(content, "engine-1", 1))
 			here.Served(at(1), unit.Digest{9})
 			here.Crashed(at(2), crashOf(content, "engine-2", 1))
