Heed endpoints that leave or ask for a pause

Cause: nothing read an endpoint's word that it leaves (of an endpoint that leaves only its report counted) or the pause that a refusal names, so that a host went on sending to both.

An answer of any status, and the head of a stream, now tells this host at once that its endpoint leaves. It gets nothing more in that lifetime, whatever its reports say. The host tells a control host with its next question, which marks the endpoint as draining for all; control hosts also take the word from answers to their own questions for events and weights. A pause is the host's own: the endpoint isn't weighed until it ends, nor for up to a quarter of it longer, half a second at most, so that hosts don't come back together. A pause that isn't a positive number of seconds is none, a longer one than the setting (an hour) is cut there. With all endpoints paused callers are refused at once with the time until the first one ends. A 421 tells nothing, as another endpoint may have sent it.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -47,6 +47,7 @@
 	}
 	defer answer.Close()
 	r.arrived = true
+	r.heed(choice, answer)
 	if r.h.Wire.NotRun(answer.Status, answer.Header) {
 		return r.notRun(choice, flight, answer)
 	}
--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -67,6 +67,10 @@
 	Answers func(header http.Header, id unit.RequestID) bool
 	// Genuine says whether a success carries the endpoint's mark and its body as the endpoint made it.
 	Genuine func(header http.Header) bool
+	// Leaves says whether an answer tells that the endpoint leaves.
+	Leaves func(header http.Header) bool
+	// Pause returns how long an answer asks this host to send nothing more, 0 if it doesn't.
+	Pause func(status int, header http.Header) time.Duration
 	// Weights returns the version of the weights that made the answer.
 	Weights func(header http.Header) (book.WeightsNumber, bool)
 }
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -11,9 +11,9 @@
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
-	"github.com/citronglade/citronglade/internal/routing/crash"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
@@ -90,7 +90,7 @@
 // broke notes that an endpoint gave no whole answer and finds out whether it has crashed. A request that may have crashed another
 // one before waits for that.
 func (r *request) broke(choice assign.Choice, ending assign.Ending) {
-	h, content, life := r.h, r.content(), crash.Lifetime{Endpoint: choice.Endpoint, Born: choice.Born}
+	h, content, life := r.h, r.content(), registry.Lifetime{Endpoint: choice.Endpoint, Born: choice.Born}
 	now := h.Now()
 	h.mu.Lock()
 	suspect := h.crashes.Suspects(content) || h.register.Suspects(content)
@@ -108,7 +108,7 @@
 }
 
 // inspect finds out whether an endpoint that broke off an answer is down, or only the connection to it.
-func (h *Handler) inspect(life crash.Lifetime, address string, service *table.Service) {
+func (h *Handler) inspect(life registry.Lifetime, address string, service *table.Service) {
 	err := h.Pool.Check(context.Background(), life.Endpoint, address, h.Connections(service))
 	if err != nil && errorx.IsOfType(err, exchange.NotListening) {
 		h.Crashed(life, err.Error())
@@ -116,7 +116,7 @@
 }
 
 // Lifetimes returns the lifetimes of endpoints at which answers broke off lately.
-func (h *Handler) Lifetimes() []crash.Lifetime {
+func (h *Handler) Lifetimes() []registry.Lifetime {
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -124,7 +124,7 @@
 }
 
 // Crashed notes that an endpoint's lifetime has ended without notice.
-func (h *Handler) Crashed(life crash.Lifetime, cause string) {
+func (h *Handler) Crashed(life registry.Lifetime, cause string) {
 	now := h.Now()
 	h.mu.Lock()
 	contents := h.crashes.Crashed(now, life)
@@ -138,14 +138,14 @@
 }
 
 // Leaves notes that an endpoint's lifetime ends as announced.
-func (h *Handler) Leaves(life crash.Lifetime) {
+func (h *Handler) Leaves(life registry.Lifetime) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.crashes.Leaves(life)
 }
 
 // blame notes that contents were running at an endpoint when it crashed.
-func (h *Handler) blame(life crash.Lifetime, contents []unit.Digest) {
+func (h *Handler) blame(life registry.Lifetime, contents []unit.Digest) {
 	now := h.Now()
 	for _, content := range contents {
 		var before, quarantined bool
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -290,7 +290,11 @@
 	r.work.Patience, r.work.Draw, r.work.Returned = r.patience(now), rand.Float64(), r.returned()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
 	if !ok {
-		return choice, nil, fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+		err := fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+		if resumes, paused := h.assigner.Resumes(now, r.service.Name); paused {
+			err = fault.Overloaded.New("all endpoints of service %s asked for a pause", r.service.Name).WithProperty(fault.RetryAfter, resumes)
+		}
+		return choice, nil, err
 	}
 	r.weighed = &choice
 	if choice.Expected > r.work.Patience {
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -40,7 +40,12 @@
 	Elsewhere: func(status int) bool { return status == http.StatusMisdirectedRequest },
 	Answers:   func(h http.Header, id unit.RequestID) bool { return h.Get("Id") == string(id) },
 	Genuine:   func(h http.Header) bool { return h.Get("Mark") != "" },
-	Weights:   func(http.Header) (book.WeightsNumber, bool) { return 0, false },
+	Leaves:    func(h http.Header) bool { return h.Get("Leaving") != "" },
+	Pause: func(_ int, h http.Header) time.Duration {
+		pause, _ := time.ParseDuration(h.Get("Pause")) // 0 without one
+		return pause
+	},
+	Weights: func(http.Header) (book.WeightsNumber, bool) { return 0, false },
 }
 
 // standIn is an endpoint whose behaviour a test scripts by raw answers. ID in an answer becomes the request's id.
--- a/internal/control/upgrade/message.go
+++ b/internal/control/upgrade/message.go
@@ -48,6 +48,7 @@
 	Weights  map[unit.ModelName]book.WeightsNumber
 	Busy     bool   // an order is being carried out
 	Accepted uint64 // orders accepted in this lifetime
+	Leaves   bool   // the replica says that it leaves
 }
 
 // Reply is a replica's answer to an order.
--- a/internal/endpoints/registry/numbering.go
+++ b/internal/endpoints/registry/numbering.go
@@ -5,16 +5,10 @@
 // Numbering is what a reader knows of the indexes in another registry's messages. The zero value knows none. It is valid until the
 // sender restarts.
 type Numbering struct {
-	known   map[Index]lifetime
+	known   map[Index]Lifetime
 	indexes map[unit.EndpointID]Index
 }
 
-// lifetime is one lifetime of an endpoint.
-type lifetime struct {
-	id   unit.EndpointID
-	born int64
-}
-
 // note learns the index of a record. An endpoint that has left gets no further messages.
 func (n *Numbering) note(record Record) {
 	if record.Index == 0 {
@@ -25,16 +19,16 @@
 		return
 	}
 	if n.known == nil {
-		n.known, n.indexes = map[Index]lifetime{}, map[unit.EndpointID]Index{}
+		n.known, n.indexes = map[Index]Lifetime{}, map[unit.EndpointID]Index{}
 	}
-	n.known[record.Index] = lifetime{record.ID, record.Born}
+	n.known[record.Index] = Lifetime{Endpoint: record.ID, Born: record.Born}
 	n.indexes[record.ID] = max(n.indexes[record.ID], record.Index)
 }
 
 // ID returns the endpoint that an index stands for, or false if the sender hasn't named it.
 func (n *Numbering) ID(index Index) (unit.EndpointID, bool) {
 	known, ok := n.known[index]
-	return known.id, ok
+	return known.Endpoint, ok
 }
 
 // Index returns the newest index of an endpoint, or false if the sender hasn't named it or it has left.
@@ -57,14 +51,14 @@
 // Prune drops indexes of lifetimes that the reader's own registry doesn't know any more.
 func (n *Numbering) Prune(r *Registry) {
 	for index, lifetime := range n.known {
-		if e, ok := r.entries[lifetime.id]; !ok || e.Born != lifetime.born {
+		if e, ok := r.entries[lifetime.Endpoint]; !ok || e.Born != lifetime.Born {
 			n.drop(index)
 		}
 	}
 }
 
 func (n *Numbering) drop(index Index) {
-	if id := n.known[index].id; n.indexes[id] == index {
+	if id := n.known[index].Endpoint; n.indexes[id] == index {
 		delete(n.indexes, id)
 	}
 	delete(n.known, index)
--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -46,6 +46,12 @@
 	Index Index         `cbor:"22,keyasint,omitempty"` // in the numbering of the registry that sent the record
 }
 
+// Lifetime is one life of an endpoint, from a start to its end.
+type Lifetime struct {
+	Endpoint unit.EndpointID `cbor:"1,keyasint"`
+	Born     int64           `cbor:"2,keyasint"` // as in Report
+}
+
 // Index stands for one lifetime of an endpoint in messages of one registry, 1 being the first that it heard of.
 type Index uint32
 
@@ -132,13 +138,13 @@
 		if !ok {
 			continue
 		}
-		known, ok := r.entries[lifetime.id]
-		if !ok || known.Born != lifetime.born || known.Left {
+		known, ok := r.entries[lifetime.Endpoint]
+		if !ok || known.Born != lifetime.Born || known.Left {
 			continue
 		}
 		known.Sequence = max(known.Sequence, beat.Sequence)
 		r.heard(known, now.Add(-time.Duration(beat.Age)*time.Millisecond))
-		heard = append(heard, lifetime.id)
+		heard = append(heard, lifetime.Endpoint)
 	}
 	return heard
 }
@@ -307,14 +313,25 @@
 	return e.Endpoint, true
 }
 
+// Drain notes that a lifetime takes no new requests, whatever its reports say. It reports whether that is news.
+func (r *Registry) Drain(l Lifetime) bool {
+	e, ok := r.entries[l.Endpoint]
+	if !ok || e.Born != l.Born || e.Draining || e.Left {
+		return false
+	}
+	e.Draining = true
+	r.contentChanged(e)
+	return true
+}
+
 // Replaced reports whether a later lifetime is known under the same id, or under another one at the same address.
-func (r *Registry) Replaced(id unit.EndpointID, born int64) bool {
-	e, ok := r.entries[id]
-	if !ok || e.Born != born {
-		return ok && e.Born > born
+func (r *Registry) Replaced(l Lifetime) bool {
+	e, ok := r.entries[l.Endpoint]
+	if !ok || e.Born != l.Born {
+		return ok && e.Born > l.Born
 	}
 	other, ok := r.at(e.Address)
-	return ok && other.ID != id && other.Born > born
+	return ok && other.ID != l.Endpoint && other.Born > l.Born
 }
 
 // Present returns the endpoints that haven't left, by id.
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -199,7 +199,7 @@
 	var request hub.SyncRequest
 	var own map[unit.EndpointID]assign.Load
 	g.handler.With(func(a *assign.Assigner, _ *allowance.Ledger) {
-		own, request.Shared = a.Own(now), a.Shared()
+		own, request.Shared, request.Leaving = a.Own(now), a.Shared(), a.Leaving()
 	})
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
@@ -321,7 +321,7 @@
 func (g *Gateway) judgeLifetimes() {
 	for _, l := range g.handler.Lifetimes() {
 		g.mu.Lock()
-		replaced := g.registry.Replaced(l.Endpoint, l.Born)
+		replaced := g.registry.Replaced(l)
 		e, known := g.registry.Endpoint(l.Endpoint)
 		g.mu.Unlock()
 		switch {
--- a/internal/host/hub/feeds.go
+++ b/internal/host/hub/feeds.go
@@ -7,8 +7,10 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/citronglade/citronglade/internal/base/codec"
+	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/holding"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
@@ -26,6 +28,8 @@
 	feedRate = 400
 	// feedRetry is the pause after a failed question.
 	feedRetry = 400 * time.Millisecond
+	// mostFeedPause bounds the pause that a place may ask for.
+	mostFeedPause = time.Hour
 	// feedFailures is the number of failed questions in a row after which nothing is known of a place.
 	feedFailures = 2
 )
@@ -138,7 +142,8 @@
 			if failures == feedFailures {
 				h.forget(place, err)
 			}
-			timer.Sleep(ctx, feedRetry)
+			asked, _ := fault.RetryAfterOf(err) // 0 if the place didn't ask for a pause
+			timer.Sleep(ctx, max(feedRetry, min(asked, mostFeedPause)))
 			continue
 		}
 		cleared := since == 0 || feed.Epoch != epoch || feed.Lost || failures >= feedFailures
@@ -148,6 +153,11 @@
 				"events", len(feed.Events), "lost", feed.Lost)
 		}
 		since, epoch = feed.Next, feed.Epoch
+		if feed.Leaves && place.id != "" {
+			h.mu.Lock()
+			h.hearLeaving(registry.Lifetime{Endpoint: place.id, Born: place.born}, string(place.id))
+			h.mu.Unlock()
+		}
 		h.held(place.place, cleared, feed.Events)
 		timer.Sleep(ctx, pauseBetween(int(h.following.Load())))
 	}
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -103,6 +103,9 @@
 	}
 	h.hearShared(now, request.Shared)
 	h.hearCrashes(now, from, request.Crashes)
+	for _, l := range request.Leaving {
+		h.hearLeaving(l, string(from))
+	}
 	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.Since(held), Crashes: h.crashes.Since(now, crashes)}
 	if h.loads.at > entry.toldAt && now.Sub(entry.toldAt) >= pauseAfter(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.Included, answer.HasLoads = h.loads.packed, now.Sub(h.loads.at), entry.included, true
@@ -144,6 +147,13 @@
 	}
 }
 
+// hearLeaving takes a lifetime that said in an answer that it leaves. The lock must be held.
+func (h *Hub) hearLeaving(l registry.Lifetime, from string) {
+	if h.registry.Drain(l) {
+		h.Log.Info("endpoint-leaving", "endpoint", string(l.Endpoint), "lifetime", l.Born, "told-by", from)
+	}
+}
+
 func (h *Hub) entryHosts(now unit.Moment) int {
 	count := h.ownEntries(now)
 	for _, other := range h.others {
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -183,6 +183,9 @@
 	defer h.mu.Unlock()
 	h.planner.Reported(h.Timer.Now(), action, status)
 	if e, ok := h.registry.Endpoint(action.Replica); ok {
+		if status != nil && status.Leaves {
+			h.hearLeaving(registry.Lifetime{Endpoint: e.ID, Born: e.Born}, string(e.ID))
+		}
 		h.learn(e)
 	}
 }
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -31,6 +31,8 @@
 	// read the hub's.
 	Crashes     quarantine.Update `cbor:"8,keyasint"`
 	CrashesRead uint64            `cbor:"9,keyasint,omitempty"`
+	// Leaving are lifetimes that told the host in an answer that they leave, and that the hub's registry doesn't show as draining.
+	Leaving []registry.Lifetime `cbor:"10,keyasint,omitempty"`
 }
 
 // ControlHost is a control host that was heard lately.
@@ -97,6 +99,7 @@
 	Epoch  uint64 // changes when the place restarts
 	Next   uint64 // where the next piece begins
 	Lost   bool   // events are missing before these
+	Leaves bool   // the place says that it leaves
 	Events []FeedEvent
 }
 
@@ -113,6 +116,7 @@
 	Status func(ctx context.Context, at registry.Endpoint) *upgrade.Status
 	// Order sends an order to a replica.
 	Order func(ctx context.Context, at registry.Endpoint, order upgrade.Order) upgrade.Reply
-	// Events waits up to wait for events of an engine, or of a store, which has no id.
+	// Events waits up to wait for events of an engine, or of a store, which has no id. A failure carries fault.RetryAfter if the place
+	// asked for a pause.
 	Events func(ctx context.Context, id unit.EndpointID, address string, since uint64, wait time.Duration) (Feed, error)
 }
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -65,6 +65,8 @@
 	WeightsGrace time.Duration
 	// WeightsLimit is how long after newer weights were named a request may still begin on older ones.
 	WeightsLimit time.Duration
+	// LongestPause bounds the time for which an endpoint may ask to be left alone, 0 for an hour.
+	LongestPause time.Duration
 }
 
 // Assigner holds what one host believes of all endpoints. It is a deterministic state machine, not safe for concurrent use.
@@ -230,7 +232,7 @@
 // Serves reports whether any endpoint is known that may take requests.
 func (a *Assigner) Serves() bool {
 	for _, r := range a.replicas {
-		if !r.Draining {
+		if !r.Draining && !r.leaving {
 			return true
 		}
 	}
@@ -246,7 +248,7 @@
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	weighed := make([]candidate, 0, len(candidates))
 	for i, r := range candidates {
-		if r.Draining || slices.Contains(tried, r.ID) {
+		if !r.takes(now) || slices.Contains(tried, r.ID) {
 			continue
 		}
 		stalled := r.stalled(now)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -65,6 +65,8 @@
 	failedAt           unit.Moment // when the endpoint last couldn't be reached or was silent
 	checkedAt          unit.Moment // when a check began last
 	answeredAt         unit.Moment // the last byte from the endpoint
+	leaving            bool        // said in an answer that it leaves
+	aloneUntil         unit.Moment // end of the pause that it asked for
 }
 
 func newReplica(r registry.Endpoint, engine *table.Engine) *replica {
--- a/internal/routing/assign/supply.go
+++ b/internal/routing/assign/supply.go
@@ -81,7 +81,7 @@
 
 // reachable reports whether the endpoint is expected to answer at all.
 func (a *Assigner) reachable(now unit.Moment, r *replica) bool {
-	return !r.Draining && r.pausedUntil <= now && now.Sub(r.heardAt) <= a.settings.ReportSilence
+	return r.takes(now) && r.pausedUntil <= now && now.Sub(r.heardAt) <= a.settings.ReportSilence
 }
 
 // stock is what one endpoint is believed to hold of a prompt.
--- a/internal/routing/crash/watch.go
+++ b/internal/routing/crash/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 )
 
 const (
@@ -18,16 +19,10 @@
 	maxLifetimes, maxContents = 1024, 1024
 )
 
-// Lifetime is one life of an endpoint.
-type Lifetime struct {
-	Endpoint unit.EndpointID
-	Born     int64 // see registry.Report
-}
-
 // Watch is one host's view. It is a deterministic state machine, not safe for concurrent use.
 type Watch struct {
-	broken  map[Lifetime][]attempt
-	crashed map[Lifetime]unit.Moment // when that was found out
+	broken  map[registry.Lifetime][]attempt
+	crashed map[registry.Lifetime]unit.Moment // when that was found out
 }
 
 // attempt is one that ended without a whole answer.
@@ -38,11 +33,11 @@
 
 // New returns a watch that knows of no attempt.
 func New() *Watch {
-	return &Watch{broken: map[Lifetime][]attempt{}, crashed: map[Lifetime]unit.Moment{}}
+	return &Watch{broken: map[registry.Lifetime][]attempt{}, crashed: map[registry.Lifetime]unit.Moment{}}
 }
 
 // Broke notes that an attempt ended without a whole answer. It reports whether the endpoint is known to have crashed.
-func (w *Watch) Broke(now unit.Moment, l Lifetime, content unit.Digest) (crashed bool) {
+func (w *Watch) Broke(now unit.Moment, l registry.Lifetime, content unit.Digest) (crashed bool) {
 	w.prune(now)
 	if _, crashed = w.crashed[l]; crashed {
 		return true
@@ -82,9 +77,9 @@
 }
 
 // Lifetimes returns those at which attempts broke off lately, in no order.
-func (w *Watch) Lifetimes(now unit.Moment) []Lifetime {
+func (w *Watch) Lifetimes(now unit.Moment) []registry.Lifetime {
 	w.prune(now)
-	lifetimes := make([]Lifetime, 0, len(w.broken))
+	lifetimes := make([]registry.Lifetime, 0, len(w.broken))
 	for l := range w.broken {
 		lifetimes = append(lifetimes, l)
 	}
@@ -92,7 +87,7 @@
 }
 
 // Crashed notes that a lifetime has ended without notice, and returns the contents whose attempts broke off there.
-func (w *Watch) Crashed(now unit.Moment, l Lifetime) []unit.Digest {
+func (w *Watch) Crashed(now unit.Moment, l registry.Lifetime) []unit.Digest {
 	w.prune(now)
 	var contents []unit.Digest
 	for _, a := range w.broken[l] {
@@ -108,7 +103,7 @@
 }
 
 // Leaves notes that a lifetime ends as announced, so that what broke off there has no part in it.
-func (w *Watch) Leaves(l Lifetime) {
+func (w *Watch) Leaves(l registry.Lifetime) {
 	delete(w.broken, l)
 }
 
--- a/internal/routing/crash/watch_test.go
+++ b/internal/routing/crash/watch_test.go
@@ -7,12 +7,13 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 )
 
 // Guards against a content that is blamed for an endpoint's planned end, for a crash long after it, or for another lifetime's, and
 // against one whose attempt ends after the crash was found out.
 func TestOnlyAttemptsOfACrashedLifetimeAreBlamed(t *testing.T) {
-	life, next := Lifetime{"e", 1}, Lifetime{"e", 2}
+	life, next := registry.Lifetime{Endpoint: "e", Born: 1}, registry.Lifetime{Endpoint: "e", Born: 2}
 	a, b := unit.Digest{1}, unit.Digest{2}
 	cases := []struct {
 		name   string
@@ -53,12 +54,12 @@
 func TestWhatBrokeOffIsBounded(t *testing.T) {
 	w := New()
 	for i := range 2 * maxLifetimes {
-		w.Broke(0, Lifetime{"e", int64(i)}, unit.Digest{1})
+		w.Broke(0, registry.Lifetime{Endpoint: "e", Born: int64(i)}, unit.Digest{1})
 	}
 	assert.Equal(t, len(w.Lifetimes(0)), maxLifetimes)
 	for i := range 2 * maxContents {
-		w.Broke(0, Lifetime{"e", 0}, unit.Digest{2, byte(i), byte(i >> 8)})
+		w.Broke(0, registry.Lifetime{Endpoint: "e", Born: 0}, unit.Digest{2, byte(i), byte(i >> 8)})
 	}
-	assert.Equal(t, len(w.Crashed(0, Lifetime{"e", 0})), maxContents)
+	assert.Equal(t, len(w.Crashed(0, registry.Lifetime{Endpoint: "e", Born: 0})), maxContents)
 	assert.Equal(t, len(w.Lifetimes(unit.Moment(window+1))), 0)
 }
