Close two races between the look at an endpoint and what a request does next

TestARequestThatCrashedTwoEndpointsIsNotSentToAThird failed once beside other tests: three endpoints crashed instead of two. The look at the first endpoint still ran when the second one broke off, so that only the second crash was known when the request was sent on. A suspected request now waits for the looks of its earlier attempts too. Beside load TestOnlyCrashesAreHeldAgainstARequest then failed: a success came between the watch's word of a crash and the register's note of it, and counted for nothing.

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -94,16 +94,19 @@
 	now := h.Now()
 	h.mu.Lock()
 	suspect := h.crashes.Suspects(content) || h.register.Suspects(content)
-	crashed := h.crashes.Broke(now, life, content)
+	known := h.crashes.Broke(now, life, content)
+	if known {
+		h.blame(now, life, content)
+	}
 	h.mu.Unlock()
 	switch {
-	case crashed:
-		h.blame(life, []unit.Digest{content})
+	case known:
 	case ending != assign.EndedBroken: // a silent endpoint doesn't refuse a connection
 	case suspect:
 		h.inspect(life, choice.Address, r.service)
+		r.inspecting.Wait()
 	default:
-		go h.inspect(life, choice.Address, r.service)
+		r.inspecting.Go(func() { h.inspect(life, choice.Address, r.service) })
 	}
 }
 
@@ -127,14 +130,16 @@
 func (h *Handler) Crashed(life registry.Lifetime, cause string) {
 	now := h.Now()
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	contents := h.crashes.Crashed(now, life)
-	h.mu.Unlock()
 	if len(contents) == 0 {
 		return
 	}
 	endpointsDown.Inc()
 	h.Log.Warn("endpoint-down", "endpoint", string(life.Endpoint), "lifetime", life.Born, "contents", len(contents), "cause", cause)
-	h.blame(life, contents)
+	for _, content := range contents {
+		h.blame(now, life, content)
+	}
 }
 
 // Leaves notes that an endpoint's lifetime ends as announced.
@@ -144,23 +149,18 @@
 	h.crashes.Leaves(life)
 }
 
-// blame notes that contents were running at an endpoint when it crashed.
-func (h *Handler) blame(life registry.Lifetime, contents []unit.Digest) {
-	now := h.Now()
-	for _, content := range contents {
-		var before, quarantined bool
-		var until unit.Moment
-		h.WithRegister(func(q *quarantine.Register) {
-			_, before = q.Check(now, content)
-			quarantined = q.Crashed(now, quarantine.Notice{
-				Content: content, Endpoint: life.Endpoint, Incarnation: unit.Incarnation(life.Born), //nolint:gosec // told apart only
-			})
-			until, _ = q.Check(now, content)
-		})
-		if quarantined && !before {
-			contentsQuarantined.Inc()
-			h.Log.Warn("content-quarantined", "content", content.String(), "endpoint", string(life.Endpoint), "lifetime", life.Born,
-				"for-ms", until.Sub(now).Milliseconds())
-		}
+// blame notes that a content was running at an endpoint when it crashed. The lock must be held since the watch told so: a success
+// in between would count for nothing.
+func (h *Handler) blame(now unit.Moment, life registry.Lifetime, content unit.Digest) {
+	_, before := h.register.Check(now, content)
+	quarantined := h.register.Crashed(now, quarantine.Notice{
+		Content: content, Endpoint: life.Endpoint, Incarnation: unit.Incarnation(life.Born), //nolint:gosec // told apart only
+	})
+	if !quarantined || before {
+		return
 	}
+	until, _ := h.register.Check(now, content)
+	contentsQuarantined.Inc()
+	h.Log.Warn("content-quarantined", "content", content.String(), "endpoint", string(life.Endpoint), "lifetime", life.Born,
+		"for-ms", until.Sub(now).Milliseconds())
 }
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -156,7 +156,9 @@
 	work     assign.Work
 	body     []byte
 	digest   unit.Digest // see content, zero until it is asked for
-	deadline unit.Moment
+	// inspecting are looks at endpoints of earlier attempts that haven't ended.
+	inspecting sync.WaitGroup
+	deadline   unit.Moment
 
 	comeBack  time.Duration  // named in a refusal, 0 if there is none
 	weighed   *assign.Choice // the last choice, also one that wasn't admitted
