Give up bytes without end from endpoints, and bound the memory they take

Cause, by case, each seen red without its safeguard in TestBytesWithoutEndAreGivenUp: a refusal was read to its end before another endpoint was asked, so that its body could use up the caller's time (503 after 2 s instead of the other endpoint's answer); a body that trickles was read until the caller's time was over also where another endpoint may be asked (504 instead of 200); lines that are no field of an event were passed on as a stream. Heads, foreign answers, interim answers, chunks and bytes after an answer were bounded already and have cases now. All answers together may take a fifth of the process's memory (24 MB by default): each alone was bounded by 8 MB, which 14 endless answers turn into more than a host has. A caller that takes nothing of a ready answer for 10 s is given up.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -16,11 +17,23 @@
 	"github.com/citronglade/citronglade/internal/routing/assign"
 )
 
-// maxAnswerBytes bounds an answer that is read whole before it is passed on.
-const maxAnswerBytes = 8 << 20
+const (
+	// maxAnswerBytes bounds an answer that is read whole before it is passed on.
+	maxAnswerBytes = 8 << 20
+	// maxRefusalBytes and refusalTime bound what is read of an endpoint's refusal, so that its connection can be kept. A refusal's
+	// text decides nothing, and another endpoint may have room.
+	maxRefusalBytes, refusalTime = 64 << 10, 100 * time.Millisecond
+	// bodyShare is the part of the time left within which an answer must be whole where another endpoint may be asked instead.
+	bodyShare = 0.5
+	// callerTime is how long a caller may take nothing of an answer that is ready before its connection is given up.
+	callerTime = 10 * time.Second
+)
 
-// errSilent cancels an attempt whose endpoint sends nothing.
-var errSilent = errors.New("the endpoint is silent")
+// errSilent cancels an attempt whose endpoint sends nothing, and errEndless one whose endpoint comes to no end.
+var (
+	errSilent  = errors.New("the endpoint is silent")
+	errEndless = errors.New("the answer comes to no end")
+)
 
 // connectionHeaders concern one connection and aren't passed on.
 var connectionHeaders = []string{
@@ -49,7 +62,7 @@
 	r.arrived = true
 	r.heed(choice, answer)
 	if r.h.Wire.NotRun(answer.Status, answer.Header) {
-		return r.notRun(choice, flight, answer)
+		return r.notRun(choice, flight, answer, cancel)
 	}
 	r.ran++
 	if r.headSent && answer.Status != http.StatusOK {
@@ -70,6 +83,10 @@
 	if r.route.Kind == table.KindStream && answer.Status == http.StatusOK {
 		return r.stream(ctx, attemptContext, choice, flight, answer)
 	}
+	if r.route.Repeatable() && r.ran < r.route.MaxEndpoints {
+		left := time.Duration(bodyShare * float64(r.deadline.Sub(r.h.Now())))
+		defer time.AfterFunc(left, func() { cancel(errEndless) }).Stop()
+	}
 	return r.whole(ctx, attemptContext, choice, flight, answer)
 }
 
@@ -184,8 +201,10 @@
 }
 
 // notRun handles an endpoint that refused the request.
-func (r *request) notRun(choice assign.Choice, flight *assign.Flight, answer *exchange.Answer) attemptResult {
-	_, _ = answer.All(maxAnswerBytes) // read so that the connection can be kept; a refusal's text decides nothing
+func (r *request) notRun(choice assign.Choice, flight *assign.Flight, answer *exchange.Answer, cancel context.CancelCauseFunc) attemptResult {
+	limit := time.AfterFunc(refusalTime, func() { cancel(errEndless) })
+	_, _ = answer.All(maxRefusalBytes) // a failure only costs the connection
+	limit.Stop()
 	ending := assign.EndedFull
 	if r.h.Wire.Elsewhere(answer.Status) {
 		ending = assign.EndedElsewhere
@@ -198,7 +217,7 @@
 // whole reads an answer to its end before it is passed on, so that a broken one can be replaced.
 func (r *request) whole(ctx, attempt context.Context, choice assign.Choice, flight *assign.Flight, answer *exchange.Answer) attemptResult {
 	r.withAssigner(func(a *assign.Assigner) { a.Began(r.h.Now(), flight) })
-	data, err := answer.All(maxAnswerBytes)
+	data, err := r.readWhole(answer)
 	if err != nil {
 		r.end(flight, choice, r.ending(ctx, attempt, true), err)
 		return attemptResult{err: err}
@@ -237,6 +256,7 @@
 func (r *request) writeWhole(answer *wholeAnswer) {
 	r.copyHeader(answer.header)
 	r.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	defer r.limitCaller(callerTime)()
 	r.w.WriteHeader(answer.status)
 	_, _ = r.w.Write(answer.body) // a caller that has left can't be told anything
 }
@@ -254,7 +274,9 @@
 // stream passes events on as they come. When the endpoint breaks off, the stream may go on at another one after the last
 // event that the caller has.
 func (r *request) stream(ctx, attempt context.Context, choice assign.Choice, flight *assign.Flight, answer *exchange.Answer) attemptResult {
-	events := newRawEvents(answer)
+	events := newRawEvents(answer, r.hold)
+	// The endpoint's connection ends with the request's time, and so does the caller's if the caller doesn't read.
+	defer r.limitCaller(max(r.deadline.Sub(r.h.Now()), 0) + callerTime)()
 	flusher := http.NewResponseController(r.w)
 	for {
 		raw, id, err := events.next()
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -60,6 +61,8 @@
 	Connections func(service *table.Service) int
 	Allowance   allowance.Settings
 	Assign      assign.Settings
+	// AnswerBytes bounds the memory of answers that are read before they are passed on, of all requests together. 0 is 24 MB.
+	AnswerBytes int64
 }
 
 // Handler serves calls. It is safe for concurrent use.
@@ -74,6 +77,7 @@
 	watched  map[*assign.Flight]watchedAttempt
 	fresh    map[string]time.Duration // by route, the time that callers have who weren't refused before
 	running  int
+	held     atomic.Int64 // bytes of answers, see AnswerBytes
 }
 
 // watchedAttempt is an attempt that may be given up and made elsewhere.
@@ -167,6 +171,7 @@
 	arrived   bool // an attempt has reached an endpoint, so that a further one is counted
 	ran       int  // attempts that may have run
 	lastID    string
+	held      int64 // bytes of answers that it takes memory for
 	headSent  bool
 	firstByte unit.Moment
 	// kept is a failure of an endpoint that is passed on if no other attempt does better.
@@ -185,12 +190,13 @@
 	h.mu.Lock()
 	h.running++
 	h.mu.Unlock()
+	r := &request{h: h, w: w, call: call, lastID: call.ResumeAfter}
 	defer func() {
+		h.held.Add(-r.held)
 		h.mu.Lock()
 		h.running--
 		h.mu.Unlock()
 	}()
-	r := &request{h: h, w: w, call: call, lastID: call.ResumeAfter}
 	if err := r.prepare(); err != nil {
 		r.refuse(err)
 		return
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -64,7 +64,9 @@
 	// Allowance and Assign are the limits of retries and of the assignment of endpoints.
 	Allowance allowance.Settings
 	Assign    assign.Settings
-	Stopping  func() bool
+	// AnswerBytes is forward.Dependencies.AnswerBytes.
+	AnswerBytes int64
+	Stopping    func() bool
 }
 
 // Gateway is the entry role of one process. It is safe for concurrent use.
@@ -117,7 +119,7 @@
 	g.next = int(seedOf(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.Wire, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
-		Allowance: d.Allowance, Assign: d.Assign,
+		Allowance: d.Allowance, Assign: d.Assign, AnswerBytes: d.AnswerBytes,
 	})
 	return g
 }
--- a/internal/host/site/process.go
+++ b/internal/host/site/process.go
@@ -44,6 +44,8 @@
 	maxHeaderBytes = 64 << 10
 	// memoryShare is the part of the process's memory at which the collector works harder.
 	memoryShare = 0.7
+	// answersShare is the part of the process's memory for answers that are read before they are passed on.
+	answersShare = 0.2
 )
 
 // Protocol is what callers, operators, endpoints and replicas of the installation speak.
@@ -111,7 +113,7 @@
 	if s.Callers != "" {
 		p.gateway = gateway.New(gateway.Dependencies{
 			Name: s.Name, Seeds: s.Seeds.Names, Timer: p.timer, Log: p.log, Call: p.link.Call, Wire: protocol.Wire,
-			Allowance: s.Allowance, Assign: s.Assign, Stopping: p.stopping.Load,
+			Allowance: s.Allowance, Assign: s.Assign, AnswerBytes: int64(answersShare * float64(s.MemoryBytes)), Stopping: p.stopping.Load,
 		})
 		if err := p.listen(s.Callers, protocol.Callers(p.gateway.Handler(), p.stopping.Load, p.timer.Now), true); err != nil {
 			return err
