--- a/internal/callers/request/attempt.go
+++ b/internal/callers/request/attempt.go
@@ -58,6 +58,7 @@
 	f.learn(ctx, answer, answer.Elapsed, err)
 	f.recordAttempt(answer.Wrote, answer.Status, err)
 	if err == nil {
+		f.handler.Router.Served(f.content)
 		f.status = answer.Status
 		f.noteFirstToken()
 	}
--- a/internal/callers/request/stream.go
+++ b/internal/callers/request/stream.go
@@ -102,6 +102,8 @@
 	}
 	if err != nil {
 		f.learn(ctx, answer, answer.Elapsed, err)
+	} else {
+		f.handler.Router.Served(f.content)
 	}
 	f.recordAttempt(answer.Wrote, answer.Status, err)
 	return answer.Wrote, err
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -148,6 +148,18 @@
 	return r.register.Crashed(r.now(), quarantine.Notice{Content: content, Endpoint: id, Incarnation: incarnation})
 }
 
+// Served notes that an endpoint answered the content, so that crashes while it ran weren't of its making. The content is only asked
+// for when something is held against one.
+func (r *Router) Served(content func() unit.Digest) {
+	if r.nothingQuarantined() {
+		return
+	}
+	digest := content()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.register.Served(r.now(), digest)
+}
+
 // Quarantines returns the crashes and quarantines that other hosts should know.
 func (r *Router) Quarantines() []quarantine.Notice {
 	r.mu.Lock()
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -114,3 +114,18 @@
 	}
 	assert.Equal(t, pieces, len(chain.Digests))
 }
+
+// Guards against a quarantine of contents that were merely running when two engines crashed, one after the other, and were answered in
+// between.
+func TestAnAnswerClearsAContent(t *testing.T) {
+	w := newWorld(t, "warm")
+	content := func() unit.Digest { return unit.Digest{1} }
+	assert.Assert(t, !w.Crashed(content(), "e0", 1))
+	w.now = w.now.Add(time.Second)
+	w.Served(content)
+	w.now = w.now.Add(time.Second)
+	assert.Assert(t, !w.Crashed(content(), "e1", 1))
+	assert.NilError(t, w.Check(content))
+	assert.Assert(t, w.Crashed(content(), "e2", 1))
+	assert.ErrorContains(t, w.Check(content), "quarantined")
+}
