--- a/internal/routing/assign/replay_test.go
+++ b/internal/routing/assign/replay_test.go
@@ -35,6 +35,7 @@
 type modelEngine struct {
 	id      unit.EndpointID
 	silent  bool
+	paused  unit.Moment // until when it turns requests away and wants none
 	queue   []*modelRequest
 	running []*modelRequest
 	cached  *list.List // of modelPart, most recently used first
