--- a/internal/routing/assign/pause_replay_test.go
+++ b/internal/routing/assign/pause_replay_test.go
@@ -87,10 +87,10 @@
 					engines: engines, rate: steady(load * engines * float64(time.Second) / pair), length: begin + length + 2*time.Second,
 					event: func(r *replay, at time.Duration) {
 						for _, e := range r.engines[:quarter] {
-							switch at {
-							case begin:
+							if at == begin {
 								e.paused = r.now.Add(length)
-							case begin + length:
+							}
+							if at == begin+length {
 								p.ended[e.id] = r.now
 							}
 						}
