Don't look through all remembered crashes for hosts that lack nothing

Cause: with each question of an entry host the control host, and with each answer the entry host, went through all remembered contents twice, to drop what is over and to find what has changed. One crash of many engines fills the register with what ran there.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -424,8 +424,9 @@
 	})
 }
 
-// forget drops endpoints of which nothing has been heard for long.
+// forget drops endpoints of which nothing has been heard for long, and crashes that are over.
 func (g *Gateway) forget(context.Context) {
+	g.handler.WithRegister(func(q *quarantine.Register) { q.Prune(g.Timer.Now()) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.Prune(g.Timer.Now())
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -207,6 +207,7 @@
 	defer h.mu.Unlock()
 	h.registry.Prune(now)
 	h.shared.Prune(now)
+	h.crashes.Prune(now)
 	for name, entry := range h.entries {
 		if now.Sub(entry.at) > pruneInterval {
 			delete(h.entries, name)
--- a/internal/routing/quarantine/register.go
+++ b/internal/routing/quarantine/register.go
@@ -113,7 +113,9 @@
 // Since returns what changed after that number, at most 64 notices and those of one content more; the rest follows after the number
 // of the update. A number that this register hasn't given is taken for 0.
 func (r *Register) Since(now unit.Moment, number uint64) Update {
-	r.forget(now)
+	if number == r.number {
+		return Update{Number: number} // hundreds of hosts ask several times a second and mostly lack nothing
+	}
 	if number > r.number {
 		number = 0
 	}
@@ -145,6 +147,11 @@
 	}
 }
 
+// Prune drops what is over.
+func (r *Register) Prune(now unit.Moment) {
+	r.forget(now)
+}
+
 // Empty reports whether nothing is remembered, so that no content needs to be checked.
 func (r *Register) Empty() bool {
 	return len(r.entries) == 0
@@ -183,6 +190,9 @@
 // come back: otherwise hosts would remind each other of it for ever, each adding the time that its message took. It returns the
 // contents that are in quarantine now and weren't before.
 func (r *Register) Merge(now unit.Moment, notices []Notice) []unit.Digest {
+	if len(notices) == 0 {
+		return nil
+	}
 	r.forget(now)
 	var quarantined []unit.Digest
 	for _, n := range notices[:min(len(notices), maxEntries)] {
--- a/internal/routing/quarantine/register_test.go
+++ b/internal/routing/quarantine/register_test.go
@@ -232,3 +232,15 @@
 		}
 	})
 }
+
+// Guards against a look through all entries for each of the hundreds of hosts that ask several times a second and lack nothing.
+func BenchmarkSinceWithoutChange(b *testing.B) {
+	r := New()
+	for i := range maxEntries {
+		r.Crashed(0, crashOf(unit.Digest{byte(i), byte(i >> 8), 1}, "engine-1", 1))
+	}
+	for b.Loop() {
+		r.Since(1, r.Number())
+		r.Merge(1, nil)
+	}
+}
