Keep to the limit that an endpoint names for all hosts together

Callers saw nothing, but a replica that named a limit of 1 request a second got 14 in 4 s, 11 allowed. Cause: nothing read the header; each host went on as if there were no limit.

Change: an answer's limit becomes a versioned value of the endpoint's lifetime (requestlimit), which the registry spreads like reports. The leader of the control hosts issues permits at the limit's rate (permit, hub/permits.go), hosts ask for as many as they have requests for, and every send passes Assigner.Begin, which takes one. Without a leader hosts take turns that sum up to a quarter of the limit. A permit ends after 1 s, so 4 s see the permits of 5 s at most: 5 N + 1, where 6 N + 5 are allowed. Event polls keep to a quarter of an engine's limit. A request that every endpoint of its service is at its limit for waits 250 ms for a permit if one is likely, and is refused with a time to come back otherwise.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -63,7 +63,7 @@
 	}
 	defer answer.Close()
 	r.reachedEndpoint = true
-	r.applySignals(choice, answer)
+	r.applySignals(choice, flight, answer)
 	if r.h.Wire.NotRun(answer.Status, answer.Header) {
 		return r.handleRefusal(choice, flight, answer, cancel)
 	}
--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -75,6 +75,9 @@
 	AnnouncesLeaving func(header http.Header) bool
 	// RequestedPause returns how long an answer asks this host to send the endpoint no further requests, 0 if it doesn't ask.
 	RequestedPause func(status int, header http.Header) time.Duration
+	// RequestLimit returns how many requests per second an answer says that the endpoint takes from all hosts together,
+	// requestlimit.None if it names no limit. It returns false if the answer names a limit that can't be read.
+	RequestLimit func(header http.Header) (perSecond float64, ok bool)
 	// Weights returns the version of the model's weights that produced the answer, if the answer states it.
 	Weights func(header http.Header) (decisions.WeightsNumber, bool)
 }
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -79,6 +79,7 @@
 	quarantines    *quarantine.Register
 	cancellable    map[*assign.Attempt]cancellableAttempt
 	longestTimeout map[string]time.Duration // by route name; see probablyRefusedBefore
+	permits        permitWait
 	running        int
 	reservedBytes  atomic.Int64 // memory for answers of all requests, at most MaxAnswerMemory
 }
@@ -93,7 +94,7 @@
 func New(d Dependencies) *Handler {
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: retrybudget.New(d.Allowance),
-		crashes: crash.New(), quarantines: quarantine.New(),
+		crashes: crash.New(), quarantines: quarantine.New(), permits: newPermitWait(),
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 	}
 }
@@ -174,7 +175,9 @@
 	reachedEndpoint bool // an attempt has reached an endpoint, so that further ones count as retries
 	possibleRuns    int  // attempts whose endpoint may have run the request
 	lastEventID     string
-	reservedBytes   int64 // memory for answers of this request
+	reservedBytes   int64       // memory for answers of this request
+	atLimit         bool        // the last choice found that all endpoints are at the limits that they named
+	permitDeadline  unit.Moment // end of the wait for a permit, 0 before it
 	headSent        bool
 	firstByte       unit.Moment
 	// fallback is an endpoint's error answer that is forwarded if no later attempt does better.
@@ -277,6 +280,9 @@
 			return
 		}
 		choice, flight, err := r.choose()
+		if err != nil && r.waitForPermit(ctx) {
+			continue
+		}
 		if err != nil {
 			r.fail(ctx, err)
 			return
@@ -300,9 +306,12 @@
 	defer h.mu.Unlock()
 	r.work.MaxLatency, r.work.Random, r.work.PreviouslyRefused = r.firstByteTimeout(now), rand.Float64(), r.probablyRefusedBefore()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
+	r.atLimit = !ok && choice.Limited > 0
 	if !ok {
 		err := fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
-		if resumes, paused := h.assigner.PauseRemaining(now, r.service.Name); paused {
+		if until, limited := h.assigner.UntilPermit(r.service.Name); limited && r.atLimit {
+			err = fault.Overloaded.New("%d endpoints of service %s are at the limits that they named", choice.Limited, r.service.Name).WithProperty(fault.RetryAfter, until)
+		} else if resumes, paused := h.assigner.PauseRemaining(now, r.service.Name); paused {
 			err = fault.Overloaded.New("all endpoints of service %s asked for a pause", r.service.Name).WithProperty(fault.RetryAfter, resumes)
 		}
 		return choice, nil, err
@@ -450,7 +459,7 @@
 	if c := r.lastChoice; c != nil && (r.work.HasPrompt || outcome == "refused") {
 		attributes = append(attributes, "endpoint", string(c.Endpoint), "expected-ms", c.Expected.Milliseconds(), "waiting-ms", c.QueueTime.Milliseconds(),
 			"weights", uint64(c.Weights), "missing-tokens", int64(c.Missing), "again-tokens", int64(c.Recomputed), "source", c.Source, "save", c.Save != "",
-			"weighed", c.Considered, "paused", c.Paused, "load-age-ms", c.LoadAge.Milliseconds())
+			"weighed", c.Considered, "paused", c.Paused, "limited", c.Limited, "load-age-ms", c.LoadAge.Milliseconds())
 	}
 	if r.retryAfter > 0 {
 		attributes = append(attributes, "retry-after-ms", r.retryAfter.Milliseconds(), "came-back", r.work.PreviouslyRefused)
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +26,7 @@
 	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
@@ -46,6 +48,13 @@
 		pause, _ := time.ParseDuration(h.Get("Pause")) // 0 without the header
 		return pause
 	},
+	RequestLimit: func(h http.Header) (float64, bool) {
+		if h.Get("Limit") == "" {
+			return requestlimit.None, true
+		}
+		limit, err := strconv.ParseFloat(h.Get("Limit"), 64)
+		return limit, err == nil
+	},
 	Weights: func(http.Header) (decisions.WeightsNumber, bool) { return 0, false },
 }
 
--- /dev/null
+++ b/internal/callers/forward/permits.go
@@ -0,0 +1,79 @@
+package forward
+
+import (
+	"context"
+	"time"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+)
+
+const (
+	// maxPermitWait is how long a request that no endpoint may get without a permit waits for one. A permit that a host asks for takes up
+	// to four messages between hosts, which are sent every 50 ms.
+	maxPermitWait = 250 * time.Millisecond
+	// permitScarcity is how long after a wait in vain requests are refused without a wait.
+	permitScarcity = time.Second
+)
+
+// permitWait is what the requests that wait for a permit share. Handler.mu guards it.
+type permitWait struct {
+	arrived  chan struct{} // closed when permits arrive
+	waiting  int
+	failedAt unit.Moment // when a request last waited in vain
+}
+
+func newPermitWait() permitWait {
+	return permitWait{arrived: make(chan struct{})}
+}
+
+// PermitsArrived wakes the requests that wait for a permit.
+func (h *Handler) PermitsArrived() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	close(h.permits.arrived)
+	h.permits.arrived = make(chan struct{})
+}
+
+// waitForPermit waits until a permit may have arrived, if the last choice failed for lack of one and it is likely that one arrives soon.
+// It returns false if the request should be refused.
+func (r *request) waitForPermit(ctx context.Context) bool {
+	h := r.h
+	now := h.Now()
+	if !r.atLimit {
+		return false
+	}
+	h.mu.Lock()
+	switch {
+	case r.permitDeadline != 0 && now >= r.permitDeadline:
+		h.permits.failedAt = now
+		h.mu.Unlock()
+		return false
+	case r.permitDeadline == 0:
+		until, _ := h.assigner.UntilPermit(r.service.Name)
+		scarce := h.permits.failedAt != 0 && now.Sub(h.permits.failedAt) < permitScarcity
+		if scarce || until*time.Duration(h.permits.waiting+1) > maxPermitWait {
+			h.mu.Unlock()
+			return false
+		}
+		r.permitDeadline, r.work.WaitsForPermit = now.Add(maxPermitWait), true
+	}
+	arrived := h.permits.arrived
+	h.permits.waiting++
+	h.mu.Unlock()
+	timeout := time.NewTimer(r.permitDeadline.Sub(now))
+	defer timeout.Stop()
+	woken := false
+	select {
+	case <-arrived:
+		woken = true
+	case <-timeout.C:
+	case <-ctx.Done():
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.permits.waiting--
+	if !woken && ctx.Err() == nil {
+		h.permits.failedAt = h.Now()
+	}
+	return woken
+}
--- a/internal/callers/forward/signals.go
+++ b/internal/callers/forward/signals.go
@@ -10,13 +10,14 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 )
 
-// applySignals records what an answer says about its endpoint: that it is leaving, or that it wants no requests from this host
-// for a while.
-func (r *request) applySignals(choice assign.Choice, answer *exchange.Answer) {
+// applySignals records what an answer says about its endpoint: that it is leaving, that it wants no requests from this host for a
+// while, or how many requests it takes from all hosts.
+func (r *request) applySignals(choice assign.Choice, flight *assign.Attempt, answer *exchange.Answer) {
 	h := r.h
 	if h.Wire.Misdirected(answer.Status) {
 		return // the answer may come from another endpoint
@@ -30,6 +31,7 @@
 			h.Log.Info("endpoint-leaving", "endpoint", string(lifetime.Endpoint), "lifetime", lifetime.Born, "request", string(r.call.ID), "status", answer.Status)
 		}
 	}
+	r.applyLimit(lifetime, flight, answer)
 	asked := h.Wire.RequestedPause(answer.Status, answer.Header)
 	if asked <= 0 {
 		return
@@ -42,7 +44,27 @@
 		"asked-ms", asked.Milliseconds(), "for-ms", until.Sub(now).Round(time.Millisecond).Milliseconds())
 }
 
-// countEndpointTrouble counts the endpoints that announce that they leave or ask for a pause, by service. The log names the
+// applyLimit records the limit that an answer names, or that it names none any more.
+func (r *request) applyLimit(lifetime registry.Lifetime, flight *assign.Attempt, answer *exchange.Answer) {
+	perSecond, ok := r.h.Wire.RequestLimit(answer.Header)
+	if !ok {
+		countEndpointTrouble(r.service.Name, "unreadable-limit")
+		return
+	}
+	changed := false
+	r.withAssigner(func(a *assign.Assigner) { changed = a.NamedLimit(r.h.Now(), flight, perSecond) })
+	if !changed {
+		return
+	}
+	if perSecond == requestlimit.None {
+		r.h.Log.Info("endpoint-limit-ended", "endpoint", string(lifetime.Endpoint), "lifetime", lifetime.Born, "request", string(r.call.ID))
+		return
+	}
+	countEndpointTrouble(r.service.Name, "limited")
+	r.h.Log.Info("endpoint-limited", "endpoint", string(lifetime.Endpoint), "lifetime", lifetime.Born, "request", string(r.call.ID), "per-second", perSecond)
+}
+
+// countEndpointTrouble counts the endpoints that announce that they leave, ask for a pause or name a limit, by service. The log names the
 // endpoint.
 func countEndpointTrouble(service table.ServiceName, cause string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf(`citronglade_endpoint_trouble_total{service=%q,cause=%q}`, string(service), cause)).Inc()
--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 )
 
@@ -44,6 +45,8 @@
 	Left  bool          `cbor:"20,keyasint,omitempty"` // the lifetime is over
 	Age   time.Duration `cbor:"21,keyasint,omitempty"` // time between the last report and the sending of the record
 	Index Index         `cbor:"22,keyasint,omitempty"` // assigned by the registry that sent the record
+	// Limit is the limit that the lifetime named in its answers.
+	Limit requestlimit.Limit `cbor:"23,keyasint,omitzero"`
 }
 
 // Lifetime identifies one run of an endpoint, from its start to its end.
@@ -64,12 +67,21 @@
 	Age      uint32 // in milliseconds
 }
 
+// NamedLimit is a change of the limit that an endpoint names in its answers. Limits may change with each answer, so a change carries an
+// index instead of names.
+type NamedLimit struct {
+	_     struct{} `cbor:",toarray"`
+	Index Index    // assigned by the sender
+	Limit requestlimit.Limit
+}
+
 // Update contains the changes of a registry after the change number that the reader last received. Number is the sender's
 // current change number.
 type Update struct {
-	Number     uint64      `cbor:"1,keyasint"`
-	Records    []Record    `cbor:"2,keyasint,omitempty"`
-	Heartbeats []Heartbeat `cbor:"3,keyasint,omitempty"`
+	Number     uint64       `cbor:"1,keyasint"`
+	Records    []Record     `cbor:"2,keyasint,omitempty"`
+	Heartbeats []Heartbeat  `cbor:"3,keyasint,omitempty"`
+	Limits     []NamedLimit `cbor:"4,keyasint,omitempty"`
 }
 
 // Endpoint is the state of one endpoint, for use on the same host.
@@ -77,6 +89,7 @@
 	Report
 	Left    bool
 	HeardAt unit.Moment
+	Limit   requestlimit.Limit // named in the lifetime's answers
 }
 
 // entry is the registry's internal state of one endpoint id.
@@ -84,7 +97,8 @@
 	Endpoint
 	index         Index
 	contentNumber uint64        // change number of the last change other than a heartbeat
-	changeNumber  uint64        // change number of the last change, heartbeats included
+	limitNumber   uint64        // change number of the last change of the limit
+	changeNumber  uint64        // change number of the last change, heartbeats and limits included
 	orderElement  *list.Element // the entry's element in Registry.order
 }
 
@@ -92,8 +106,10 @@
 type Registry struct {
 	entries       map[unit.EndpointID]*entry
 	byAddress     map[string]unit.EndpointID // the newest lifetime at each address
-	order         *list.List                 // of *entry, in ascending order of changeNumber
-	lastIndex     Index                      // the highest index assigned so far
+	byIndex       map[Index]unit.EndpointID
+	limited       map[unit.EndpointID]struct{} // endpoints that may have a limit in force
+	order         *list.List                   // of *entry, in ascending order of changeNumber
+	lastIndex     Index                        // the highest index assigned so far
 	changeNumber  uint64
 	contentNumber uint64 // change number of the last change of any entry other than a heartbeat
 }
@@ -102,6 +118,7 @@
 func New() *Registry {
 	return &Registry{
 		entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}, order: list.New(),
+		byIndex: map[Index]unit.EndpointID{}, limited: map[unit.EndpointID]struct{}{},
 	}
 }
 
@@ -128,7 +145,7 @@
 }
 
 // Merge applies an update of another registry. sender is the numbering of that registry and is extended by the update's records.
-// Merge returns the endpoints whose known lifetime has a heartbeat in the update.
+// Merge returns the endpoints whose known lifetime has a heartbeat or a limit in the update.
 func (r *Registry) Merge(now unit.Moment, update Update, sender *Numbering) []unit.EndpointID {
 	for _, record := range update.Records {
 		r.merge(now, record)
@@ -148,9 +165,35 @@
 		r.recordHeartbeat(known, now.Add(-time.Duration(heartbeat.Age)*time.Millisecond))
 		heard = append(heard, lifetime.Endpoint)
 	}
+	for _, named := range update.Limits {
+		lifetime, ok := sender.lifetimes[named.Index]
+		if ok && r.LearnLimit(lifetime, named.Limit) {
+			heard = append(heard, lifetime.Endpoint)
+		}
+	}
 	return heard
 }
 
+// LearnLimit merges a limit that a lifetime named in an answer. It returns false if the lifetime is unknown or the change is known.
+func (r *Registry) LearnLimit(l Lifetime, limit requestlimit.Limit) bool {
+	e, ok := r.entries[l.Endpoint]
+	if !ok || e.Born != l.Born || e.Left {
+		return false
+	}
+	merged := e.Limit.Merge(limit)
+	if merged == e.Limit {
+		return false
+	}
+	e.Limit = merged
+	if merged.InForce() {
+		r.limited[l.Endpoint] = struct{}{}
+	}
+	r.changeNumber++
+	e.limitNumber, e.changeNumber = r.changeNumber, r.changeNumber
+	r.order.MoveToBack(e.orderElement)
+	return true
+}
+
 // merge applies one record by the rules of the package comment. It returns false if a newer report or a later lifetime is known.
 func (r *Registry) merge(now unit.Moment, record Record) bool {
 	known, ok := r.entries[record.ID]
@@ -173,11 +216,15 @@
 	}
 	if ok {
 		r.order.Remove(known.orderElement)
+		delete(r.byIndex, known.index)
 	}
 	r.lastIndex++
-	e := &entry{Endpoint: Endpoint{Report: record.Report, Left: record.Left, HeardAt: heardAt}, index: r.lastIndex}
+	e := &entry{Endpoint: Endpoint{Report: record.Report, Left: record.Left, HeardAt: heardAt, Limit: record.Limit}, index: r.lastIndex}
 	e.orderElement = r.order.PushBack(e)
-	r.entries[record.ID] = e
+	r.entries[record.ID], r.byIndex[e.index] = e, record.ID
+	if e.Limit.InForce() {
+		r.limited[record.ID] = struct{}{}
+	}
 	if record.Address != "" {
 		r.byAddress[record.Address] = record.ID
 	}
@@ -201,6 +248,7 @@
 		r.recordContentChange(known)
 	}
 	r.recordHeartbeat(known, heardAt)
+	r.LearnLimit(Lifetime{Endpoint: known.ID, Born: known.Born}, record.Limit)
 	return newer
 }
 
@@ -244,8 +292,11 @@
 		age := max(now.Sub(e.HeardAt), 0)
 		switch {
 		case e.contentNumber > number || all:
-			update.Records = append(update.Records, Record{Report: e.Report, Left: e.Left, Age: age, Index: e.index})
+			update.Records = append(update.Records, Record{Report: e.Report, Left: e.Left, Age: age, Index: e.index, Limit: e.Limit})
 		case e.changeNumber > number:
+			if e.limitNumber > number {
+				update.Limits = append(update.Limits, NamedLimit{Index: e.index, Limit: e.Limit})
+			}
 			update.Heartbeats = append(update.Heartbeats, Heartbeat{Index: e.index, Sequence: e.Sequence, Age: uint32(min(age.Milliseconds(), math.MaxUint32))}) //nolint:gosec // bounded on both sides
 		default:
 			return update
@@ -262,6 +313,25 @@
 	return 0
 }
 
+// ID returns the endpoint whose current lifetime has the given index, or false if there is none.
+func (r *Registry) ID(index Index) (unit.EndpointID, bool) {
+	id, ok := r.byIndex[index]
+	return id, ok
+}
+
+// Limited returns the present endpoints that name a limit, in no particular order.
+func (r *Registry) Limited() []Endpoint {
+	var limited []Endpoint
+	for id := range r.limited {
+		if e, ok := r.entries[id]; ok && e.Limit.InForce() && !e.Left && e.Address != "" {
+			limited = append(limited, e.Endpoint)
+		} else {
+			delete(r.limited, id)
+		}
+	}
+	return limited
+}
+
 // Indexes returns the indexes of the given endpoints and omits unknown endpoints.
 func (r *Registry) Indexes(ids []unit.EndpointID) []Index {
 	var indexes []Index
@@ -354,6 +424,7 @@
 	for id, e := range r.entries {
 		if now.Sub(e.HeardAt) > retentionPeriod {
 			delete(r.entries, id)
+			delete(r.byIndex, e.index)
 			r.order.Remove(e.orderElement)
 			if r.byAddress[e.Address] == id {
 				delete(r.byAddress, e.Address)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -49,6 +50,9 @@
 	localRetryPause = 5 * time.Second
 	// keptSentLoads is the number of this host's last load reports that are kept. The sum of all loads includes one of them.
 	keptSentLoads = 8
+	// limitsInterval is the time between two reports of the limits of endpoints for which this host wants permits, in case a control host
+	// has restarted without them.
+	limitsInterval = time.Second
 	// connectionShare is the fraction of an endpoint's connections that all entry hosts together may use.
 	connectionShare = 0.9
 )
@@ -95,6 +99,8 @@
 
 	sentLoads []sentLoad   // the last load reports, used only by sync
 	applied   appliedState // used only by sync
+	// limitsSentAt is when limits that the control host probably knows were last sent; used only by sync.
+	limitsSentAt unit.Moment
 }
 
 // sentLoad is a report of this host's own load that was sent to a control host.
@@ -171,6 +177,7 @@
 
 // sync sends a control host what is new at this host, such as its load, and applies the changes in the answer.
 func (g *Gateway) sync(ctx context.Context) {
+	sentAt := g.Timer.Now()
 	name, request := g.prepareRequest()
 	payload, err := codec.Marshal(request)
 	if err != nil {
@@ -189,7 +196,7 @@
 		return
 	}
 	g.applyCrashes(name, &request, &answer) // first, because the host may become ready to serve with the rest of the answer
-	g.applyAnswer(name, &answer)
+	g.applyAnswer(name, &answer, sentAt)
 	g.resolveSuspectLifetimes()
 	if answer.Age > majorityTimeout {
 		g.markLost(name, "the control host has had no contact with a majority for "+answer.Age.String())
@@ -201,8 +208,14 @@
 	now := g.Timer.Now()
 	var request hub.SyncRequest
 	var own map[unit.EndpointID]assign.Load
+	var wanted map[unit.EndpointID]int
+	resendLimits := now.Sub(g.limitsSentAt) >= limitsInterval
+	if resendLimits {
+		g.limitsSentAt = now
+	}
 	g.handler.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
 		own, request.Shared, request.Leaving = a.OwnLoads(now), a.TakeSharedNames(), a.Leaving()
+		wanted, request.Limits = a.WantedPermits(now), a.Limits(now, resendLimits)
 	})
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
@@ -218,6 +231,11 @@
 			load[index] = l
 		}
 	}
+	for id, permits := range wanted {
+		if index, ok := g.numbering.Index(id); ok {
+			request.WantedPermits = append(request.WantedPermits, permit.Count{Index: index, Permits: uint32(permits)}) //nolint:gosec // positive and bounded
+		}
+	}
 	number := uint64(1)
 	if len(g.sentLoads) > 0 {
 		number = g.sentLoads[len(g.sentLoads)-1].number + 1
@@ -275,7 +293,7 @@
 }
 
 // applyAnswer applies a control host's answer. An older table than the one in force is ignored.
-func (g *Gateway) applyAnswer(name unit.HostName, answer *hub.SyncAnswer) {
+func (g *Gateway) applyAnswer(name unit.HostName, answer *hub.SyncAnswer, sentAt unit.Moment) {
 	now := g.Timer.Now()
 	g.entryHosts.Store(int64(answer.EntryHosts))
 	g.applyTable(answer.Table)
@@ -301,8 +319,16 @@
 		}
 	}
 	v := g.resolveAnswer(reported, answer)
+	for _, c := range answer.Permits {
+		if id, ok := g.numbering.ID(c.Index); ok {
+			v.permits = append(v.permits, endpointPermits{id, c.Batch(sentAt)})
+		}
+	}
 	g.mu.Unlock()
 	g.updateAssigner(now, v, answer)
+	if len(v.permits) > 0 {
+		g.handler.PermitsArrived()
+	}
 }
 
 // applyCrashes merges a control host's notices of contents that crashed endpoints.
@@ -346,6 +372,13 @@
 	endpoints          []registry.Endpoint // all endpoints if changed is set, otherwise those that reported again
 	updating, upcoming []unit.EndpointID
 	otherLoads         map[unit.EndpointID]assign.Load // loads of other entry hosts, nil if the answer holds none
+	permits            []endpointPermits
+}
+
+// endpointPermits are the permits that a control host granted for one endpoint.
+type endpointPermits struct {
+	endpoint unit.EndpointID
+	batch    permit.Batch
 }
 
 // resolveAnswer resolves the indexes of an answer and determines whether the assigner needs all endpoints again. The lock must be held.
@@ -419,6 +452,11 @@
 		} else {
 			a.UpdateReports(v.endpoints)
 		}
+		a.LearnLimits(now, v.endpoints)
+		for _, p := range v.permits {
+			a.AddPermits(p.endpoint, p.batch)
+		}
+		a.SetPermitsAge(now, answer.PermitsAge)
 		if v.otherLoads != nil {
 			a.SetLoads(now.Add(-answer.LoadsAge), v.otherLoads)
 		}
--- a/internal/host/hub/feeds.go
+++ b/internal/host/hub/feeds.go
@@ -145,7 +145,7 @@
 				h.forgetPlace(place, err)
 			}
 			requested, _ := fault.RetryAfterOf(err) // 0 if the place didn't ask for a pause
-			timer.Sleep(ctx, max(pollRetryPause, min(requested, maxRequestedPause)))
+			timer.Sleep(ctx, max(pollRetryPause, min(requested, maxRequestedPause), h.limitedPollPause(place.id)))
 			continue
 		}
 		cleared := since == 0 || feed.Epoch != epoch || feed.Lost || failures >= maxPollFailures
@@ -161,7 +161,7 @@
 			h.mu.Unlock()
 		}
 		h.applyEvents(place.place, cleared, feed.Events)
-		timer.Sleep(ctx, pollPause(int(h.pollerCount.Load())))
+		timer.Sleep(ctx, max(pollPause(int(h.pollerCount.Load())), h.limitedPollPause(place.id)))
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -175,6 +175,17 @@
 	return max(minPollPause, time.Duration(places)*time.Second/maxPollsPerSecond)
 }
 
+// limitedPollPause returns the pause that keeps the requests to an endpoint within pollShare of the limit that it names, 0 without a limit.
+func (h *Hub) limitedPollPause(id unit.EndpointID) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	e, _ := h.registry.Endpoint(id)
+	if !e.Limit.InForce() {
+		return 0
+	}
+	return time.Duration(float64(time.Second) / (pollShare * e.Limit.Rate()))
+}
+
 // forgetPlace drops what this host knows of a place that doesn't answer.
 func (h *Hub) forgetPlace(place eventSource, err error) {
 	h.mu.Lock()
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -97,22 +97,28 @@
 func (h *Hub) syncAnswer(from unit.HostName, now unit.Moment, request SyncRequest, load tally.EndpointLoads) SyncAnswer {
 	entry := h.entries[from]
 	entry.heardAt, entry.load, entry.loadNumber = now, load, request.LoadNumber
+	entry.wantedPermits = h.endpointCounts(request.WantedPermits, h.registry.ID)
 	since, holdingNumber, crashes := request.RegistryNumber, request.HoldingNumber, request.CrashesRead
 	if request.Epoch != h.Incarnation {
 		// The request's numbers and indexes refer to another hub, or to this one before it restarted.
 		since, holdingNumber, crashes = 0, ^uint64(0), 0
 		entry.load, entry.loadNumber, entry.includedNumber = nil, 0, 0
+		entry.wantedPermits, entry.granted = nil, nil
 	}
 	h.addShared(now, request.Shared)
 	h.mergeCrashes(now, from, request.Crashes)
 	for _, l := range request.Leaving {
 		h.markLeaving(l, string(from))
 	}
+	for _, l := range request.Limits {
+		h.learnLimit(l.Lifetime, l.Limit, from)
+	}
 	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.ChangesSince(holdingNumber), Crashes: h.crashes.Since(now, crashes)}
 	if h.loads.computedAt > entry.loadsSentAt && now.Sub(entry.loadsSentAt) >= loadsPause(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.IncludedLoadNumber, answer.HasLoads = h.loads.packed, now.Sub(h.loads.computedAt), entry.includedNumber, true
 		entry.loadsSentAt = now
 	}
+	answer.Permits, answer.PermitsAge = h.takePermits(now, &entry), now.Sub(h.leaderHeardAt)
 	h.entries[from] = entry
 	answer.EntryHosts = h.entryHostCount(now)
 	answer.Updating, answer.Upcoming = h.updating(now)
@@ -214,6 +220,10 @@
 		return err
 	}
 	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, loads: tally.EndpointLoads{}}
+	if state.Leader {
+		h.leaderHeardAt = now
+	}
+	updated.wanted = h.endpointCounts(state.WantedPermits, known.numbering.ID)
 	if state.RegistryAfter <= known.readRegistry && state.Update.Number >= known.readRegistry {
 		h.registry.Merge(now, state.Update, known.numbering)
 		updated.readRegistry = state.Update.Number
@@ -232,7 +242,9 @@
 			updated.loads[h.registry.Index(id)] = load
 		}
 	}
+	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
+	state.WantedPermits, state.Permits = nil, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -28,6 +28,7 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -96,6 +97,7 @@
 	pollers      map[eventSource]context.CancelFunc // used only by the loop that runs updatePollers
 	// pollerCount is the number of pollers.
 	pollerCount atomic.Int64
+	leads       func(unit.Moment) bool // holdsLeaderLease, except in tests
 
 	mu                 sync.Mutex
 	registry           *registry.Registry
@@ -113,7 +115,9 @@
 	newlyShared        []sharing.PartID // shared parts not yet sent to the other control hosts
 	crashes            *quarantine.Register
 	loads              loadSum
-	storeAddress       string // address of the store in the table with storeTableVersion
+	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
+	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
+	storeAddress       string                               // address of the store in the table with storeTableVersion
 	storeTableVersion  table.Version
 	savedEndpoints     uint64 // content number of the registry at the last save
 	unsavedBookChanges int    // number of changes of the decisions since the last save
@@ -128,6 +132,8 @@
 	includedNumber uint64 // number of the host's load that the last sum of loads includes
 	loadsSentAt    unit.Moment
 	heardAt        unit.Moment
+	wantedPermits  map[unit.EndpointID]int
+	granted        map[unit.EndpointID][]permit.Batch // not yet sent
 }
 
 // loadSum is the load of all entry hosts together, by the indexes of the registry. It is computed once for all entry hosts that ask.
@@ -142,10 +148,11 @@
 	State
 	heardAt      unit.Moment
 	numbering    *registry.Numbering
-	loads        tally.EndpointLoads // by the indexes of this host's registry
-	readRegistry uint64              // number of the peer's last change of endpoints that this host has read
-	readHolding  uint64              // number of the peer's last change of cached parts that this host has read
-	readCrashes  uint64              // number of the peer's last change of crashes that this host has read
+	loads        tally.EndpointLoads     // by the indexes of this host's registry
+	readRegistry uint64                  // number of the peer's last change of endpoints that this host has read
+	readHolding  uint64                  // number of the peer's last change of cached parts that this host has read
+	readCrashes  uint64                  // number of the peer's last change of crashes that this host has read
+	wanted       map[unit.EndpointID]int // permits that the peer's entry hosts want
 }
 
 // New returns a hub with the state that was saved before the last stop. Run starts it.
@@ -155,8 +162,9 @@
 		entries: map[unit.HostName]entryState{}, peers: map[unit.HostName]peerState{}, planner: upgrade.New(d.LeaseWait),
 		ownHoldings: cachedparts.New(), holdings: cachedparts.New(), peerHoldings: map[unit.HostName]*cachedparts.Map{},
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
-		shared: sharing.New(), crashes: quarantine.New(),
+		shared: sharing.New(), crashes: quarantine.New(), permits: map[unit.EndpointID]*endpointPermits{},
 	}
+	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
 	h.stateFile = savedstate.New(d.DataFolder)
 	h.restoreState()
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -26,9 +26,12 @@
 	h.leaderCaller.SetHosts(control)
 	h.setMemberPeers(control)
 	now := h.Timer.Now()
+	issues := h.leads(now)
 	h.mu.Lock()
+	granted := h.grantPermits(now, issues)
 	state := State{
 		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
+		WantedPermits: h.unmetPermits(now),
 	}
 	h.newlyShared = nil
 	if h.isLeader {
@@ -48,6 +51,7 @@
 		state.Crashes = h.crashes.Since(now, crashesRead)
 		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter = registryRead, holdingRead, crashesRead
 		state.ReadEpoch, state.ReadRegistry, state.ReadHolding, state.ReadCrashes = peer.Epoch, peer.readRegistry, peer.readHolding, peer.readCrashes
+		state.Permits = h.countPermits(now, granted[name])
 		messages[name] = state
 	}
 	h.mu.Unlock()
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -9,7 +9,9 @@
 	"github.com/citronglade/citronglade/internal/control/upgrade"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
@@ -35,6 +37,10 @@
 	// Leaving are the lifetimes that announced in an answer to the host that they are leaving, and that the hub's registry doesn't
 	// show as draining.
 	Leaving []registry.Lifetime `cbor:"10,keyasint,omitempty"`
+	// Limits are the limits that lifetimes named in answers to the host and that the hub may not know yet.
+	Limits []assign.LifetimeLimit `cbor:"11,keyasint,omitempty"`
+	// WantedPermits are the permits that the host wants for endpoints that name limits, by the indexes of that registry.
+	WantedPermits []permit.Count `cbor:"12,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -65,6 +71,10 @@
 	Holding            cachedparts.Update `cbor:"11,keyasint"`
 	// Crashes are the notices of contents that crashed endpoints that the asking host hasn't read yet.
 	Crashes quarantine.Update `cbor:"15,keyasint"`
+	// Permits are granted to the host for endpoints that name limits. PermitsAge is how long ago the hub last knew a leader that issues
+	// permits.
+	Permits    []permit.Count `cbor:"16,keyasint,omitempty"`
+	PermitsAge time.Duration  `cbor:"17,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -94,6 +104,10 @@
 	Crashes      quarantine.Update `cbor:"16,keyasint"`
 	CrashesAfter uint64            `cbor:"17,keyasint,omitempty"`
 	ReadCrashes  uint64            `cbor:"18,keyasint,omitempty"`
+	// WantedPermits are the permits that the entry hosts which sync with the sender want, by the indexes of the sender's registry.
+	// Permits are granted to the reader, which divides them among its entry hosts; only the leader grants any.
+	WantedPermits []permit.Count `cbor:"19,keyasint,omitempty"`
+	Permits       []permit.Count `cbor:"20,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -80,7 +80,10 @@
 	weightsHistory map[unit.ModelName][]announcedWeights // sorted by version
 	loadsAt        unit.Moment
 	serviceStats   map[table.ServiceName]serviceStat
-	hosts          int              // number of entry hosts that share the endpoints
+	hosts          int // number of entry hosts that share the endpoints
+	hostPeak       int // largest number of entry hosts within hostPeakTime
+	hostPeakAt     unit.Moment
+	permitsAt      unit.Moment      // when a leader that issues permits was last known
 	store          *table.Store     // nil if there is no cache store
 	holdings       *cachedparts.Map // cached parts, as reported by cache events
 	evictions      evictionRates
@@ -265,7 +268,7 @@
 			continue
 		}
 		choice.Considered++
-		c := candidate{tier: a.tier(now, r, w, waitForOthers)}
+		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers)}
 		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i)))
 		if c.tier == tierLastResort {
 			choice.Paused++
@@ -279,20 +282,17 @@
 		}
 		considered = append(considered, c)
 	}
-	pick := highestValue
-	if !w.HasPrompt {
-		pick = weightedRandom
-	}
-	picked, ok := pick(w, considered)
+	picked, ok := a.pickAllowed(now, w, considered, &choice.Limited)
 	if !ok {
 		return choice, false
 	}
 	picked.choice.LoadAge, picked.choice.Considered, picked.choice.Paused = choice.LoadAge, choice.Considered, choice.Paused
+	picked.choice.Limited = choice.Limited
 	return picked.choice, true
 }
 
 // highestValue returns the candidate with the highest value in the best tier.
-func highestValue(_ *Request, considered []candidate) (candidate, bool) {
+func highestValue(_ float64, considered []candidate) (candidate, bool) {
 	var best candidate
 	for i, c := range considered {
 		if i == 0 || c.tier < best.tier || c.tier == best.tier && c.value > best.value {
@@ -383,6 +383,7 @@
 	}
 	r.own = r.own.Add(f.load)
 	r.addRecent(now, f.load)
+	a.spendPermit(now, r, w)
 	if a.sendRates[w.Service] == nil {
 		a.sendRates[w.Service] = &sendRate{}
 	}
--- a/internal/routing/assign/load_estimate.go
+++ b/internal/routing/assign/load_estimate.go
@@ -49,7 +49,7 @@
 		reported.PendingPrefill = max(0, reported.PendingPrefill-prefilled)
 		reported.Requests, reported.Tokens = int(float64(reported.Requests)*remaining+0.5), unit.Tokens(float64(reported.Tokens)*remaining)
 		loads[i] = r.own.Add(reported).Add(r.unreportedLoad(now, a.hosts))
-		if a.reachable(now, r) && !r.weightsUpdating && !a.suspected(now, r) {
+		if a.reachable(now, r) && !r.weightsUpdating && !a.suspected(now, r) && !r.limit.InForce() {
 			requests = append(requests, float64(loads[i].Requests))
 			tokens, unread = append(tokens, float64(loads[i].Tokens)), append(unread, float64(loads[i].PendingPrefill))
 		}
--- a/internal/routing/assign/plain_service.go
+++ b/internal/routing/assign/plain_service.go
@@ -29,7 +29,7 @@
 	var occupancies []float64 // running requests per slot
 	totalSlots := 0.0
 	for i, r := range candidates {
-		if !a.reachable(now, r) || a.suspected(now, r) {
+		if !a.reachable(now, r) || a.suspected(now, r) || r.limit.InForce() {
 			continue
 		}
 		slots := float64(max(r.Slots, 1))
@@ -49,9 +49,9 @@
 	return headroom
 }
 
-// weightedRandom picks one of the candidates of the best tier with their headroom and value as weights. The random number is
-// Request.Random, so that the choice is reproducible.
-func weightedRandom(w *Request, considered []candidate) (candidate, bool) {
+// weightedRandom picks one of the candidates of the best tier with their headroom and value as weights. The random number in
+// [0, 1) is given, so that the choice is reproducible.
+func weightedRandom(random float64, considered []candidate) (candidate, bool) {
 	best, tier := math.Inf(-1), tierLastResort
 	for _, c := range considered {
 		tier = min(tier, c.tier)
@@ -69,7 +69,7 @@
 			total += shares[i]
 		}
 	}
-	remaining := w.Random * total
+	remaining := random * total
 	last := -1
 	for i, share := range shares {
 		if share == 0 {
@@ -91,5 +91,6 @@
 	tier     tier
 	value    float64
 	headroom float64
+	replica  *replica
 	choice   Choice
 }
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -8,7 +8,9 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/permit"
 )
 
 const (
@@ -69,6 +71,13 @@
 	lastByteAt          unit.Moment // when the endpoint last sent something
 	leaving             bool        // an answer said that the endpoint leaves
 	requestedPauseUntil unit.Moment // end of the pause that the endpoint asked for
+
+	limit          requestlimit.Limit // named in answers to this or other hosts
+	limitKnownAt   unit.Moment        // when this host learned limit
+	publishedLimit requestlimit.Limit // known to the control host
+	permits        []permit.Batch
+	demand         decayingRate // requests for which this endpoint was the best choice, while it names a limit
+	ownTurn        unit.Moment  // when this host may send a request without a permit, see mayUseOwnShare
 }
 
 func newReplica(r registry.Endpoint, engine *table.Engine) *replica {
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -35,6 +35,7 @@
 	MaxLatency        time.Duration // longest useful time to the first byte; a later answer is lost
 	Random            float64       // random number in [0, 1) that chooses between endpoints of a plain service
 	PreviouslyRefused bool          // the caller was refused before and has come back
+	WaitsForPermit    bool          // an earlier choice found all endpoints at the limits that they named
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
 
 	prefixes []Prefix                                       // by part, computed by prepare
@@ -152,6 +153,7 @@
 	Save       string
 	Considered int           // number of endpoints that were considered
 	Paused     int           // number of considered endpoints that are paused, updating or suspected
+	Limited    int           // number of endpoints that would have been chosen but are at the limit that they named
 	LoadAge    time.Duration // age of the loads that other hosts reported
 }
 
