--- a/internal/command/emulate/emulate.go
+++ b/internal/command/emulate/emulate.go
@@ -52,6 +52,7 @@
 		&cli.StringFlag{Name: "data-centres", Usage: "data centres that the stand-ins are spread over", Value: "nlw-a"},
 		&cli.IntFlag{Name: "slots", Usage: "requests that one stand-in runs at a time", Value: 16},
 		&cli.FloatFlag{Name: "time-scale", Usage: "factor on all emulated times", Value: 1},
+		&cli.FloatFlag{Name: "request-limit", Usage: "requests/s from all hosts that engines and services name in their answers; 0 names none"},
 	}
 }
 
@@ -146,6 +147,7 @@
 			Slots: c.Int("slots"), CachePieces: c.Int("cache-pieces"), PieceTokens: unit.Tokens(c.Int("piece-tokens")),
 			PrefillRate: c.Float("prefill-rate"), WeightStore: weightStore, HonoursFencing: !c.Bool("ignore-fencing"),
 			Store: c.String("store"), PoisonMarker: c.String("poison"), TimeScale: c.Float("time-scale"), Seed: uint64(i),
+			Settings: engine.Settings{RequestLimit: c.Float("request-limit")},
 		}))
 	}
 	return list
@@ -157,6 +159,7 @@
 		list = append(list, service.New(service.Options{
 			Listen: o.addresses[i], Endpoint: id, DataCentre: o.dataCentres[i], Service: c.String("name"), Slots: c.Int("slots"),
 			Entries: o.entries, AnnounceKey: o.key, TimeScale: c.Float("time-scale"),
+			Settings: service.Settings{RequestLimit: c.Float("request-limit")},
 		}))
 	}
 	return list
--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -48,6 +48,8 @@
 			&cli.IntFlag{Name: "piece-tokens", Usage: "as the entry hosts are set", Value: 2000},
 			&cli.StringFlag{Name: "token-prefix", Usage: "beginning of customers' bearer tokens", Value: "token-"},
 			&cli.StringFlag{Name: "weights", Usage: "weights version of emulated engines; checks the text of answers"},
+			&cli.StringFlag{Name: "limited-engines", Usage: "addresses of emulated engines, separated by commas, that name --request-limit meanwhile"},
+			&cli.FloatFlag{Name: "request-limit", Usage: "requests/s from all hosts together", Value: 1},
 			&cli.StringFlag{Name: "plot", Usage: "file (.svg or .png) for a plot of the token hit rate over time"},
 		},
 		Action: run,
@@ -61,10 +63,23 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	var limited []string
+	if addresses := c.String("limited-engines"); addresses != "" {
+		limited = strings.Split(addresses, ",")
+	}
+	if err := load.SetRequestLimit(ctx, limited, c.Float("request-limit")); err != nil {
+		return err
+	}
 	report, err := generator.Run(ctx)
 	if err != nil {
 		return err
 	}
+	if report.LimitedEngines, err = load.RequestsUnderLimit(ctx, limited); err != nil {
+		return err
+	}
+	if err := load.SetRequestLimit(ctx, limited, 0); err != nil {
+		return err
+	}
 	if file := c.String("plot"); file != "" {
 		series := []load.Series{{Name: c.String("shape"), Report: report}}
 		if err := load.PlotHitRate(file, "Token hit rate", plotWindow, series); err != nil {
--- a/internal/emulator/engine/completion.go
+++ b/internal/emulator/engine/completion.go
@@ -48,6 +48,7 @@
 func (e *Emulator) setIdentityHeaders(w http.ResponseWriter) {
 	w.Header().Set("Citronglade-Incarnation", strconv.FormatUint(uint64(e.state.incarnation), 10))
 	w.Header().Set("Citronglade-Weights", string(e.weights.current))
+	e.requestLimit.Apply(w.Header(), e.settings.RequestLimit)
 }
 
 // admit adds a request to the queue, or refuses it before any of it is executed and returns false.
--- a/internal/emulator/engine/control.go
+++ b/internal/emulator/engine/control.go
@@ -28,6 +28,7 @@
 	Running          int   `json:"running"`
 	Queued           int   `json:"queued"`
 	CachedPieces     int   `json:"cached-pieces"`
+	MostIn4s         int   `json:"most-in-4s"` // most requests in 4 s since the current request-limit was set
 }
 
 type loadReport struct {
@@ -42,6 +43,7 @@
 	e.mu.Unlock()
 	load := s.load(e.options.Slots)
 	counts.Running, counts.Queued, counts.CachedPieces = load.Running, load.Queued, s.cache.len()
+	counts.MostIn4s = e.requestLimit.Most()
 	return counts
 }
 
--- a/internal/emulator/engine/emulator.go
+++ b/internal/emulator/engine/emulator.go
@@ -13,6 +13,7 @@
 
 // Emulator is one engine. It is safe for concurrent use.
 type Emulator struct {
+	requestLimit         harness.RequestLimit
 	options              Options
 	listener             *harness.Listener
 	announcer            *harness.Announcer
--- a/internal/emulator/engine/options.go
+++ b/internal/emulator/engine/options.go
@@ -66,6 +66,7 @@
 	EventDelay    harness.Duration `json:"event-delay"`     // delay between a change of the cache and its event
 	EventLoss     float64          `json:"event-loss"`      // fraction of the event batches that are dropped, 0 to 1
 	Silent        bool             `json:"silent"`          // stop announcing
+	RequestLimit  float64          `json:"request-limit"`   // requests/s from all hosts together, named in all answers; 0 names none
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/emulator/service/emulator.go
+++ b/internal/emulator/service/emulator.go
@@ -55,6 +55,8 @@
 	FailEvery   int              `json:"fail-every"`   // apply Failure to every n-th call; 0 and 1 apply it to all
 	AnswerBytes int              `json:"answer-bytes"` // minimum size of the answer, padded with spaces
 	Silent      bool             `json:"silent"`       // stop announcing
+	// RequestLimit is named in all answers, in requests/s from all hosts together; 0 names none.
+	RequestLimit float64 `json:"request-limit"`
 }
 
 // Emulator is one service replica. It is safe for concurrent use.
@@ -64,6 +66,7 @@
 	sequence atomic.Uint64
 	running  atomic.Int64
 	draining atomic.Bool
+	limit    harness.RequestLimit
 
 	mu              sync.Mutex
 	settings        Settings
@@ -76,6 +79,8 @@
 type Executions struct {
 	Total int            `json:"total"`
 	Keys  map[string]int `json:"keys"` // executions for each Idempotency-Key
+	// MostIn4s is the most calls in 4 s since the current request-limit was set.
+	MostIn4s int `json:"most-in-4s"`
 }
 
 // New returns an emulator; Run starts it.
@@ -121,11 +126,15 @@
 	for key, count := range e.executions {
 		keys[key] = count
 	}
-	return Executions{Total: e.totalExecutions, Keys: keys}
+	return Executions{Total: e.totalExecutions, Keys: keys, MostIn4s: e.limit.Most()}
 }
 
 func (e *Emulator) handleCall(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Citronglade-Incarnation", strconv.FormatUint(uint64(e.options.Incarnation), 10))
+	e.mu.Lock()
+	perSecond := e.settings.RequestLimit
+	e.mu.Unlock()
+	e.limit.Apply(w.Header(), perSecond)
 	if refused := e.refuseCall(w, r); refused {
 		return
 	}
--- a/internal/measure/load/load_test.go
+++ b/internal/measure/load/load_test.go
@@ -11,9 +11,12 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
 
+	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/emulator/engine"
 	"github.com/citronglade/citronglade/internal/measure/load"
 	"github.com/citronglade/citronglade/internal/measure/shape"
 )
@@ -94,3 +97,27 @@
 	assert.NilError(t, load.PlotHitRate(filepath.Join(folder, "hit.svg"), "hit", 50*time.Millisecond, series))
 	assert.NilError(t, load.PlotFirstToken(filepath.Join(folder, "first.svg"), "first", "match", series))
 }
+
+// Guards against a limit that an emulated engine doesn't name, or against requests under it that aren't counted.
+func TestAnEmulatedEngineNamesItsLimitAndCounts(t *testing.T) {
+	server := httptest.NewServer(engine.New(engine.Options{Endpoint: "e", TimeScale: 0.001}).Handler())
+	defer server.Close()
+	engines := []string{strings.TrimPrefix(server.URL, "http://")}
+	named := func() string {
+		response, err := http.Post(server.URL+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"a","max_tokens":1}`))
+		assert.NilError(t, err)
+		defer response.Body.Close()
+		return response.Header.Get("Citronglade-Request-Limit")
+	}
+	assert.Equal(t, named(), "")
+	assert.NilError(t, load.SetRequestLimit(t.Context(), engines, 2.5))
+	for range 3 {
+		assert.Equal(t, named(), "2.5")
+	}
+	limited, err := load.RequestsUnderLimit(t.Context(), engines)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, limited, []load.LimitedEngine{{Address: engines[0], MostIn4s: 3}})
+	assert.NilError(t, load.SetRequestLimit(t.Context(), engines, 0))
+	assert.Equal(t, named(), "")
+	assert.Assert(t, errorx.IsOfType(load.SetRequestLimit(t.Context(), []string{"127.0.0.1:1"}, 1), fault.Unreachable))
+}
--- a/internal/measure/load/report.go
+++ b/internal/measure/load/report.go
@@ -45,6 +45,12 @@
 	first, refusal *hdrhistogram.Histogram
 }
 
+// LimitedEngine is an emulated engine that named a limit during the run.
+type LimitedEngine struct {
+	Address  string `json:"address"`
+	MostIn4s int    `json:"most-in-4s"` // most requests in 4 s
+}
+
 // Report is the result of a part of a run, by default of the whole run without its warm-up.
 type Report struct {
 	Seconds      float64     `json:"seconds"`
@@ -65,6 +71,8 @@
 	Groups      []*Group `json:"calls"`
 
 	samples []Sample
+	// LimitedEngines are the emulated engines that named a limit during the run.
+	LimitedEngines []LimitedEngine `json:"limited-engines,omitempty"`
 }
 
 func newReport(samples []Sample, from, until time.Duration) *Report {
@@ -232,4 +240,7 @@
 			g.FirstToken.P50, g.FirstToken.P95, g.FirstToken.P99, g.FirstToken.Max, g.Refusal.P99, g.Codes)
 	}
 	_ = w.Flush()
+	for _, e := range r.LimitedEngines {
+		_, _ = fmt.Fprintf(to, "limited engine %s: %d requests in 4 s at most\n", e.Address, e.MostIn4s)
+	}
 }
