Collect the claims for permits once a round, log the limit of a choice

Cause: a round went through all entry hosts for each limited endpoint, which at 600 limited endpoints and 60 hosts is 720,000 look-ups a second; and a request's log line didn't show the limit under which it was sent.

--- a/internal/host/hub/permits.go
+++ b/internal/host/hub/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -41,19 +40,15 @@
 	if issues {
 		h.leaderHeardAt = now
 	}
-	limited := h.registry.Limited()
-	for id, p := range h.permits {
-		if !slices.ContainsFunc(limited, func(e registry.Endpoint) bool { return e.ID == id && e.Born == p.born }) {
-			delete(h.permits, id)
-		}
-	}
+	permits := map[unit.EndpointID]*endpointPermits{}
 	granted := map[unit.HostName]map[unit.EndpointID][]permit.Batch{}
-	for _, e := range limited {
+	claims := h.claims(now, issues)
+	for _, e := range h.registry.Limited() {
 		p := h.permits[e.ID]
-		if p == nil {
+		if p == nil || p.born != e.Born {
 			p = &endpointPermits{born: e.Born}
-			h.permits[e.ID] = p
 		}
+		permits[e.ID] = p
 		if issues {
 			p.Accrue(now, permitRate(e))
 		} else {
@@ -62,10 +57,11 @@
 		if p.Left(now) == 0 {
 			continue
 		}
-		for host, batches := range p.Grant(now, h.claims(now, e.ID, issues), rand.Float64) {
+		for host, batches := range p.Grant(now, claims[e.ID], rand.Float64) {
 			h.recordGrant(host, e.ID, batches, granted)
 		}
 	}
+	h.permits = permits
 	return granted
 }
 
@@ -77,21 +73,26 @@
 	return e.Limit.Rate()
 }
 
-// claims returns the permits for one endpoint that are wanted by the entry hosts that sync with this host and, if peers is set, by the
-// other control hosts.
-func (h *Hub) claims(now unit.Moment, id unit.EndpointID, peers bool) []permit.Claim {
-	var claims []permit.Claim
-	for name, entry := range h.entries {
-		if wanted := entry.wantedPermits[id]; wanted > 0 && now.Sub(entry.heardAt) < hostSilenceTimeout {
-			claims = append(claims, permit.Claim{Host: name, Wanted: wanted})
+// claims returns by endpoint the permits that are wanted by the entry hosts that sync with this host and, if peers is set, by the other
+// control hosts.
+func (h *Hub) claims(now unit.Moment, peers bool) map[unit.EndpointID][]permit.Claim {
+	claims := map[unit.EndpointID][]permit.Claim{}
+	add := func(host unit.HostName, heardAt unit.Moment, wanted map[unit.EndpointID]int) {
+		if now.Sub(heardAt) >= hostSilenceTimeout {
+			return
+		}
+		for id, permits := range wanted {
+			if permits > 0 {
+				claims[id] = append(claims[id], permit.Claim{Host: host, Wanted: permits})
+			}
 		}
 	}
-	if !peers {
-		return claims
+	for name, entry := range h.entries {
+		add(name, entry.heardAt, entry.wantedPermits)
 	}
-	for name, peer := range h.peers {
-		if wanted := peer.wanted[id]; wanted > 0 && now.Sub(peer.heardAt) < hostSilenceTimeout {
-			claims = append(claims, permit.Claim{Host: name, Wanted: wanted})
+	if peers {
+		for name, peer := range h.peers {
+			add(name, peer.heardAt, peer.wanted)
 		}
 	}
 	return claims
@@ -120,12 +121,12 @@
 // unmetPermits returns the permits that the entry hosts which sync with this host want and that it can't grant.
 func (h *Hub) unmetPermits(now unit.Moment) []permit.Count {
 	var counts []permit.Count
-	for id := range h.permits {
+	for id, claims := range h.claims(now, false) {
 		wanted := 0
-		for _, c := range h.claims(now, id, false) {
+		for _, c := range claims {
 			wanted += c.Wanted
 		}
-		if index := h.registry.Index(id); wanted > 0 && index != 0 {
+		if index := h.registry.Index(id); index != 0 {
 			counts = append(counts, permit.Count{Index: index, Permits: uint32(wanted)}) //nolint:gosec // positive, and bounded by the hosts' demand
 		}
 	}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -278,7 +278,7 @@
 		}
 		c.choice = Choice{
 			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
-			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched,
+			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit,
 		}
 		considered = append(considered, c)
 	}
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -9,6 +9,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 )
@@ -155,6 +156,8 @@
 	Paused     int           // number of considered endpoints that are paused, updating or suspected
 	Limited    int           // number of endpoints that would have been chosen but are at the limit that they named
 	LoadAge    time.Duration // age of the loads that other hosts reported
+	// Limit is the limit that the endpoint named; the zero value if it never named one.
+	Limit requestlimit.Limit
 }
 
 // Ending says how an attempt at an endpoint ended.
