Say truly why a customer's request gets 429

Callers of a host that had just restarted got "over its limit of 60 requests/s" at 12 requests/s. Cause: the host has no share of the limit yet, and its text spoke of the customer. The refusal stays, as a host without a share can't know what others admit. Measured: tests of the callers' area pass; no test reads the text.

--- a/internal/callers/request/execution.go
+++ b/internal/callers/request/execution.go
@@ -78,7 +78,7 @@
 	}
 	promptChain := e.chainFor(h.Router.Weights(e.Target))
 	if ok, after := h.Take(e.Customer.ID, e.Customer.Limit); !ok {
-		return fault.OverLimit.New("customer %s is over its limit of %g requests/s", e.Customer.ID, e.Customer.Limit).
+		return fault.OverLimit.New("this host has used up its share of customer %s's limit of %g requests/s", e.Customer.ID, e.Customer.Limit).
 			WithProperty(fault.RetryAfter, after)
 	}
 	slot, err := h.Gate(e.Kind, e.Target).Acquire(ctx, queue.Ticket{
