--- a/internal/measure/load/limit.go
+++ b/internal/measure/load/limit.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return fault.Unreachable.Wrap(err, "cannot reach the emulated engine at %s", address)
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }() // the body has been read or is of no use
 	if response.StatusCode != http.StatusOK {
 		return fault.BrokenAnswer.New("%s answers with status %d", address, response.StatusCode)
 	}
