Draw a host's turn independently of the choice of the endpoint

Cause: the random number that picked an endpoint of a plain service also drew the host's next turn there, so that turns came early: the endpoint at the beginning of the range was picked by small numbers only. And a registry that nobody asks for limited endpoints kept the ids of those that are gone. Change: the lower digits of the number draw the turn; Prune drops the ids.

--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -425,6 +425,7 @@
 		if now.Sub(e.HeardAt) > retentionPeriod {
 			delete(r.entries, id)
 			delete(r.byIndex, e.index)
+			delete(r.limited, id)
 			r.order.Remove(e.orderElement)
 			if r.byAddress[e.Address] == id {
 				delete(r.byAddress, e.Address)
--- a/internal/routing/assign/limit.go
+++ b/internal/routing/assign/limit.go
@@ -178,7 +178,7 @@
 		r.demand.add(now, 1)
 	}
 	if r.usablePermits(now) == 0 {
-		r.ownTurn = a.nextOwnTurn(now, r, w.Random)
+		r.ownTurn = a.nextOwnTurn(now, r, redraw(w.Random))
 		return
 	}
 	first := 0
@@ -205,6 +205,7 @@
 		if probed, found := probedEndpoint(now, picked, considered); found {
 			return probed, true
 		}
+		random = redraw(random)
 		if a.withinLimit(now, picked.replica, random) {
 			return picked, true
 		}
@@ -213,10 +214,14 @@
 			picked.replica.demand.add(now, 1)
 		}
 		considered = slices.DeleteFunc(considered, func(c candidate) bool { return c.replica == picked.replica })
-		random = math.Mod(random*randomStride, 1)
 	}
 }
 
+// redraw returns a random number in [0, 1) made of the lower digits of another one, which don't depend on what its upper digits decided.
+func redraw(random float64) float64 {
+	return math.Mod(random*randomStride, 1)
+}
+
 // probedEndpoint returns a candidate for which this host has a permit and that gets the request instead of the picked one, because its
 // limit is so low that otherwise hardly any answer would show its end.
 func probedEndpoint(now unit.Moment, picked candidate, considered []candidate) (candidate, bool) {
