--- a/internal/routing/assign/limit_test.go
+++ b/internal/routing/assign/limit_test.go
@@ -112,7 +112,7 @@
 }
 
 // Guards against hosts that all use their own shares of a limit in the same moment, or use more than their shares, while no leader issues
-// permits.
+// permits. A control host that has just restarted knows of one host only.
 func TestWithoutALeaderHostsTakeTurns(t *testing.T) {
 	const hosts, perSecond, seconds = 75, 20, 60
 	var fleet []*Assigner
@@ -120,6 +120,8 @@
 		a := newAssignerWith(endpoint("e", 1, 0))
 		a.SetHosts(hosts)
 		a.SetPermitsAge(0, 0)
+		a.SetHosts(1)
+		a.SetPermitsAge(0, 0)
 		a.LearnLimits(0, []registry.Endpoint{{Report: endpoint("e", 1, 0).Report, Limit: requestlimit.Limit{}.Changed(perSecond)}})
 		fleet = append(fleet, a)
 	}
