Drop the permits of an earlier limit when an endpoint names a lower one

Cause: control hosts kept for up to a second what a higher limit had allowed, and granted it to hosts that had dropped their own. Change: a lower limit empties the pool and what waits for the next sync. Measured: the added steps of TestALimitAndItsPermitsReachHostsOfAnotherControlHost fail without it (3 permits where none may be left) and pass with it.

--- a/internal/host/hub/permits.go
+++ b/internal/host/hub/permits.go
@@ -17,7 +17,8 @@
 // endpointPermits are the permits for one endpoint that this host may grant.
 type endpointPermits struct {
 	permit.Pool
-	born int64 // lifetime that named the limit
+	born int64   // lifetime that named the limit
+	rate float64 // requests per second that the limit allows
 }
 
 // holdsLeaderLease reports whether this host is the leader. Only the leader issues permits.
@@ -45,10 +46,11 @@
 	claims := h.claims(now, issues)
 	for _, e := range h.registry.Limited() {
 		p := h.permits[e.ID]
-		if p == nil || p.born != e.Born {
-			p = &endpointPermits{born: e.Born}
+		if p == nil || p.born != e.Born || e.Limit.Rate() < p.rate {
+			p = &endpointPermits{born: e.Born} // without the permits that an earlier limit allowed
+			h.dropGranted(e.ID)
 		}
-		permits[e.ID] = p
+		permits[e.ID], p.rate = p, e.Limit.Rate()
 		if issues {
 			p.Accrue(now, permitRate(e))
 		} else {
@@ -65,6 +67,13 @@
 	return granted
 }
 
+// dropGranted drops the permits for an endpoint that entry hosts haven't been sent yet.
+func (h *Hub) dropGranted(id unit.EndpointID) {
+	for _, entry := range h.entries {
+		delete(entry.granted, id)
+	}
+}
+
 // permitRate returns the number of permits that are issued per second for an endpoint.
 func permitRate(e registry.Endpoint) float64 {
 	if len(e.Weights) > 0 {
--- a/internal/host/hub/permits_test.go
+++ b/internal/host/hub/permits_test.go
@@ -48,6 +48,18 @@
 	assert.Assert(t, total >= 9 && total <= 10, "%d permits", total)
 	assert.Equal(t, len(leader.syncAnswer("10.0.1.1", clock.Now(), SyncRequest{Epoch: 1}, tally.EndpointLoads{}).Permits), 0, "a host that wants none")
 
+	// A lower limit ends the permits that the control hosts still have.
+	lower := SyncRequest{Epoch: 1, Limits: []assign.LifetimeLimit{{Lifetime: registry.Lifetime{Endpoint: "e", Born: 1}, Limit: limit.Changed(0.5)}}}
+	for range 10 {
+		clock.Advance(50 * time.Millisecond)
+		exchange(t, other, leader) // nobody asks, so that the permits stay with the control hosts
+	}
+	leader.syncAnswer("10.0.1.1", clock.Now(), lower, tally.EndpointLoads{})
+	exchange(t, leader, other)
+	clock.Advance(50 * time.Millisecond)
+	exchange(t, leader, other)
+	assert.Equal(t, len(other.syncAnswer("10.0.1.2", clock.Now(), want, tally.EndpointLoads{}).Permits), 0)
+
 	// The limit ends with the lifetime.
 	leader.registry.ApplyReport(clock.Now(), registry.Report{ID: "e", Service: "s", Address: "10.1.0.1:80", Born: 2, Sequence: 1})
 	leader.grantPermits(clock.Now(), true)
