Keep a tenth of an engine's limit for event polls

Change: a tenth; at 1 request a second the engine is polled every 10 s, in which it takes 9 requests.

--- a/internal/host/hub/permits.go
+++ b/internal/host/hub/permits.go
@@ -12,7 +12,7 @@
 
 // pollShare is the part of the limit of an engine that is kept for the control host that polls it for cache events. Permits are issued
 // for the rest.
-const pollShare = 0.25
+const pollShare = 0.1
 
 // endpointPermits are the permits for one endpoint that this host may grant.
 type endpointPermits struct {
