Bound what a host says of limited endpoints in a sync

Cause: with 600 endpoints at their limits a host would ask for permits of all of them 20 times a second, 72 KB/s of the 28 KB/s that it may use. Change: 64 endpoints a sync, other ones each time.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -53,6 +53,9 @@
 	// limitsInterval is the time between two reports of the limits of endpoints for which this host wants permits, in case a control host
 	// has restarted without them.
 	limitsInterval = time.Second
+	// maxLimitedEndpoints limits the endpoints for which a sync asks for permits, and those whose limits it reports. Which ones are left
+	// out differs from sync to sync.
+	maxLimitedEndpoints = 64
 	// connectionShare is the fraction of an endpoint's connections that all entry hosts together may use.
 	connectionShare = 0.9
 )
@@ -231,7 +234,11 @@
 			load[index] = l
 		}
 	}
+	request.Limits = request.Limits[:min(len(request.Limits), maxLimitedEndpoints)]
 	for id, permits := range wanted {
+		if len(request.WantedPermits) == maxLimitedEndpoints {
+			break
+		}
 		if index, ok := g.numbering.Index(id); ok {
 			request.WantedPermits = append(request.WantedPermits, permit.Count{Index: index, Permits: uint32(permits)}) //nolint:gosec // positive and bounded
 		}
