--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -308,13 +308,7 @@
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
 	r.atLimit = !ok && choice.Limited > 0
 	if !ok {
-		err := fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
-		if until, limited := h.assigner.UntilPermit(r.service.Name); limited && r.atLimit {
-			err = fault.Overloaded.New("%d endpoints of service %s are at the limits that they named", choice.Limited, r.service.Name).WithProperty(fault.RetryAfter, until)
-		} else if resumes, paused := h.assigner.PauseRemaining(now, r.service.Name); paused {
-			err = fault.Overloaded.New("all endpoints of service %s asked for a pause", r.service.Name).WithProperty(fault.RetryAfter, resumes)
-		}
-		return choice, nil, err
+		return choice, nil, r.noEndpoint(now, choice)
 	}
 	r.lastChoice = &choice
 	if choice.Expected > r.work.MaxLatency {
--- a/internal/callers/forward/permits.go
+++ b/internal/callers/forward/permits.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/assign"
 )
 
 const (
@@ -34,6 +36,17 @@
 	h.permits.arrived = make(chan struct{})
 }
 
+// noEndpoint returns why no endpoint may get the request, with the time until one may if that is known. Handler.mu must be held.
+func (r *request) noEndpoint(now unit.Moment, choice assign.Choice) error {
+	if until, limited := r.h.assigner.UntilPermit(r.service.Name); limited && choice.Limited > 0 {
+		return fault.Overloaded.New("%d endpoints of service %s are at the limits that they named", choice.Limited, r.service.Name).WithProperty(fault.RetryAfter, until)
+	}
+	if resumes, paused := r.h.assigner.PauseRemaining(now, r.service.Name); paused {
+		return fault.Overloaded.New("all endpoints of service %s asked for a pause", r.service.Name).WithProperty(fault.RetryAfter, resumes)
+	}
+	return fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+}
+
 // waitForPermit waits until a permit may have arrived, if the last choice failed for lack of one and it is likely that one arrives soon.
 // It returns false if the request should be refused.
 func (r *request) waitForPermit(ctx context.Context) bool {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -25,7 +25,6 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
-	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -50,12 +49,6 @@
 	localRetryPause = 5 * time.Second
 	// keptSentLoads is the number of this host's last load reports that are kept. The sum of all loads includes one of them.
 	keptSentLoads = 8
-	// limitsInterval is the time between two reports of the limits of endpoints for which this host wants permits, in case a control host
-	// has restarted without them.
-	limitsInterval = time.Second
-	// maxLimitedEndpoints limits the endpoints for which a sync asks for permits, and those whose limits it reports. Which ones are left
-	// out differs from sync to sync.
-	maxLimitedEndpoints = 64
 	// connectionShare is the fraction of an endpoint's connections that all entry hosts together may use.
 	connectionShare = 0.9
 )
@@ -235,14 +228,7 @@
 		}
 	}
 	request.Limits = request.Limits[:min(len(request.Limits), maxLimitedEndpoints)]
-	for id, permits := range wanted {
-		if len(request.WantedPermits) == maxLimitedEndpoints {
-			break
-		}
-		if index, ok := g.numbering.Index(id); ok {
-			request.WantedPermits = append(request.WantedPermits, permit.Count{Index: index, Permits: uint32(permits)}) //nolint:gosec // positive and bounded
-		}
-	}
+	request.WantedPermits = g.wantedPermits(wanted)
 	number := uint64(1)
 	if len(g.sentLoads) > 0 {
 		number = g.sentLoads[len(g.sentLoads)-1].number + 1
@@ -326,11 +312,7 @@
 		}
 	}
 	v := g.resolveAnswer(reported, answer)
-	for _, c := range answer.Permits {
-		if id, ok := g.numbering.ID(c.Index); ok {
-			v.permits = append(v.permits, endpointPermits{id, c.Batch(sentAt)})
-		}
-	}
+	v.permits = g.grantedPermits(answer, sentAt)
 	g.mu.Unlock()
 	g.updateAssigner(now, v, answer)
 	if len(v.permits) > 0 {
@@ -382,12 +364,6 @@
 	permits            []endpointPermits
 }
 
-// endpointPermits are the permits that a control host granted for one endpoint.
-type endpointPermits struct {
-	endpoint unit.EndpointID
-	batch    permit.Batch
-}
-
 // resolveAnswer resolves the indexes of an answer and determines whether the assigner needs all endpoints again. The lock must be held.
 func (g *Gateway) resolveAnswer(reported []unit.EndpointID, answer *hub.SyncAnswer) endpointUpdate {
 	v := endpointUpdate{updating: g.numbering.IDs(answer.Updating), upcoming: g.numbering.IDs(answer.Upcoming), otherLoads: g.otherHostsLoads(answer)}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -53,10 +53,6 @@
 	// weights: on an endpoint whose update is next, its value is multiplied by upcomingUpdateFactor.
 	longOutputTokens     = unit.Tokens(24)
 	upcomingUpdateFactor = 0.4
-	// waitSafetyFactor multiplies the expected time until a request begins where it must not begin after a limit.
-	waitSafetyFactor = 3
-	// maxWeightsHistory is the number of versions per model whose announcement time is kept.
-	maxWeightsHistory = 32
 )
 
 // Settings configures an Assigner.
@@ -93,12 +89,6 @@
 	sharedParts  sharedNames
 }
 
-// announcedWeights is a version of a model's weights and the moment at which this host learned of it.
-type announcedWeights struct {
-	version decisions.WeightsNumber
-	at      unit.Moment
-}
-
 // Attempt is an attempt of a request at an endpoint.
 type Attempt struct {
 	replica   *replica
@@ -211,31 +201,6 @@
 	return own
 }
 
-// SetNewest records the newest version of each model's weights.
-func (a *Assigner) SetNewest(now unit.Moment, newest map[unit.ModelName]decisions.WeightsNumber) {
-	for model, number := range newest {
-		history := a.weightsHistory[model]
-		if len(history) > 0 && history[len(history)-1].version >= number {
-			continue
-		}
-		if len(history) >= maxWeightsHistory {
-			history = history[1:]
-		}
-		a.weightsHistory[model] = append(history, announcedWeights{number, now})
-	}
-}
-
-// timeSinceReplaced returns how long ago the first version newer than the given one was announced, 0 if there is none. Later
-// versions don't matter: they don't make the given version any newer.
-func (a *Assigner) timeSinceReplaced(now unit.Moment, model unit.ModelName, version decisions.WeightsNumber) time.Duration {
-	for _, announced := range a.weightsHistory[model] {
-		if announced.version > version {
-			return now.Sub(announced.at)
-		}
-	}
-	return 0
-}
-
 // HasEndpoints reports whether there is an endpoint that is neither draining nor leaving.
 func (a *Assigner) HasEndpoints() bool {
 	for _, r := range a.replicas {
@@ -322,16 +287,6 @@
 	}
 }
 
-// mayBegin reports whether the endpoint's weights will be new enough when the request begins there. It allows for a wait that is
-// longer than expected.
-func (a *Assigner) mayBegin(now unit.Moment, r *replica, w *Request, expected time.Duration) bool {
-	if !w.HasPrompt {
-		return true
-	}
-	replaced := a.timeSinceReplaced(now, w.Model, r.weights(w.Model))
-	return replaced == 0 || replaced+waitSafetyFactor*expected < a.settings.WeightsLimit
-}
-
 // value is the expected value of the request at the endpoint, where 1 is an answer that is certainly in time, less the costs of
 // using that endpoint.
 func (a *Assigner) value(now unit.Moment, r *replica, w *Request, expected time.Duration, plan cachePlan) float64 {
@@ -476,22 +431,6 @@
 	}
 }
 
-// LearnWeights records the version of the weights that an answer named.
-func (a *Assigner) LearnWeights(id unit.EndpointID, model unit.ModelName, version decisions.WeightsNumber) {
-	r, ok := a.replicas[id]
-	if !ok || version <= r.Weights[model] {
-		return
-	}
-	learned := map[unit.ModelName]decisions.WeightsNumber{model: version}
-	for other, known := range r.Weights {
-		if other != model {
-			learned[other] = known
-		}
-	}
-	r.Weights = learned
-	r.cached.clear()
-}
-
 // ProbablyFailed reports whether the attempt's endpoint has probably failed: the answer hasn't begun, and either the endpoint has sent
 // nothing at all for longer than the limit, or connection checks have failed since the request was sent.
 func (a *Assigner) ProbablyFailed(now unit.Moment, f *Attempt) bool {
