Log the shared parts of a prompt whose attempt got no whole answer

Cause: attempt-ended named the content of a request that broke off with an endpoint, but not the parts of its prompt, so that crashes under requests with a common part could not be told from crashes under unrelated ones. Change: the attribute shared-parts, at most 8 parts, without the last one, which belongs to the request itself.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -29,6 +29,8 @@
 	// callerWriteTimeout limits how long a buffered answer may take to be written to its caller, and how long a stream may still
 	// be written after the request's deadline, so that a caller that doesn't read doesn't hold its connection for good.
 	callerWriteTimeout = 10 * time.Second
+	// maxLoggedParts limits the parts of a prompt in a log line.
+	maxLoggedParts = 8
 )
 
 // errSilent cancels an attempt whose endpoint has sent nothing for too long or can't be reached any more. errReadTimeout cancels
@@ -195,7 +197,7 @@
 		"load-age-ms", choice.LoadAge.Milliseconds(), "weighed", choice.Considered, "cause", cause,
 	}
 	if ending.Unanswered() {
-		attributes = append(attributes, "content", r.contentDigest().String(), "lifetime", choice.Born)
+		attributes = append(attributes, "content", r.contentDigest().String(), "lifetime", choice.Born, "shared-parts", r.work.SharedParts(maxLoggedParts))
 	}
 	r.h.Log.Info("attempt-ended", attributes...)
 	if ending.Unanswered() {
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -87,6 +87,19 @@
 	return "w" + strconv.FormatUint(uint64(weights), 10) + "." + string(wall)
 }
 
+// SharedParts returns the ids of the parts that other requests may share, at most the given number of them. The last part of a prompt
+// belongs to the request itself or to its session.
+func (w *Request) SharedParts(most int) []string {
+	shared := make([]string, 0, min(len(w.Parts), most))
+	for _, part := range w.Parts[:max(len(w.Parts)-1, 0)] {
+		if len(shared) == most {
+			break
+		}
+		shared = append(shared, part.ID)
+	}
+	return shared
+}
+
 // affinityPrefix returns the prefix by which requests are routed to the same endpoints: the longest one that other requests may
 // share. The last part of a prompt belongs to the request itself or to its session.
 func (w *Request) affinityPrefix() (Prefix, bool) {
