Block the parts of prompts that crash endpoints

Cause: hosts remembered a crash by the digest of the whole content that broke off. No two of these requests are alike, so none was recognised. Change: routing/crashcause collects, over all hosts, which parts broke off with which lifetime and which were answered since, and blocks the part that explains three crashes or more. A request with a part that may have caused two crashes gets no second attempt.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -181,7 +181,7 @@
 	r.h.assigner.End(r.h.Now(), flight, ending)
 	r.h.mu.Unlock()
 	if ending == assign.EndedComplete {
-		r.recordServed()
+		r.recordServed(choice)
 		return
 	}
 	if ending == assign.EndedUnreachable {
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -4,6 +4,8 @@
 	"context"
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
+	"math"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
@@ -14,12 +16,14 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
 var (
 	endpointsDown       = metrics.NewCounter("citronglade_endpoints_found_down_total")
 	contentsQuarantined = metrics.NewCounter("citronglade_contents_quarantined_total")
+	partsBlocked        = metrics.NewCounter("citronglade_prompt_parts_blocked_total")
 )
 
 // contentDigest returns a digest of what an endpoint is asked: customer, method, host, path without its query, and body. The
@@ -50,8 +54,59 @@
 	use(h.quarantines)
 }
 
-// checkQuarantine fails with fault.Quarantined if the request's content is quarantined because it has crashed endpoints.
+// WithCrashCauses calls use with the register of parts of prompts that crash endpoints, while it holds the handler's lock.
+func (h *Handler) WithCrashCauses(use func(*crashcause.Register)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	use(h.crashCauses)
+}
+
+// sharedParts returns the parts of the prompt that other requests may share: all but the last one.
+func (r *request) sharedParts() []crashcause.PartID {
+	if r.call.Prompt == nil {
+		return nil
+	}
+	var parts []crashcause.PartID
+	for _, part := range r.call.Prompt.Parts[:max(len(r.call.Prompt.Parts)-1, 0)] {
+		parts = append(parts, crashcause.NewPartID(r.call.Prompt.Model, part.ID))
+	}
+	return parts
+}
+
+// partsAt returns the shared parts of the prompt as they were sent to an endpoint.
+func (r *request) partsAt(choice assign.Choice) []crashcause.Part {
+	parts := make([]crashcause.Part, 0, len(r.parts))
+	for i, id := range r.parts {
+		parts = append(parts, crashcause.Part{ID: id, Position: uint8(min(i, math.MaxUint8)), Weights: choice.Weights}) //nolint:gosec // bounded
+	}
+	return parts
+}
+
+// suspectsParts reports whether a part of the request's prompt may have crashed several endpoints.
+func (r *request) suspectsParts() bool {
+	suspected := false
+	r.h.WithCrashCauses(func(c *crashcause.Register) { suspected = c.Suspects(r.parts) })
+	return suspected
+}
+
+// checkParts fails with fault.Quarantined if a part of the request's prompt is blocked because it crashes endpoints.
+func (r *request) checkParts() error {
+	var cause crashcause.Cause
+	blocked, now := false, r.h.Now()
+	r.h.WithCrashCauses(func(c *crashcause.Register) { cause, blocked = c.Check(now, r.parts) })
+	if !blocked {
+		return nil
+	}
+	return fault.Quarantined.New("part %016x of the prompt has crashed %d endpoints", uint64(cause.Part), cause.Crashes).
+		WithProperty(fault.RetryAfter, cause.Until.Sub(now))
+}
+
+// checkQuarantine fails with fault.Quarantined if the request's content or a part of its prompt is quarantined because it has crashed
+// endpoints.
 func (r *request) checkQuarantine() error {
+	if err := r.checkParts(); err != nil {
+		return err
+	}
 	empty := true
 	r.h.WithQuarantines(func(q *quarantine.Register) { empty = q.Empty() })
 	if empty {
@@ -68,17 +123,21 @@
 		WithProperty(fault.RetryAfter, until.Sub(now))
 }
 
-// recordServed records that an endpoint has answered the request's content, so that the content isn't suspected or quarantined for
-// earlier crashes any more.
-func (r *request) recordServed() {
-	h := r.h
+// recordServed records that an endpoint has answered the request, so that its content and the parts of its prompt aren't suspected or
+// quarantined for earlier crashes any more.
+func (r *request) recordServed(choice assign.Choice) {
+	h, now := r.h, r.h.Now()
 	h.mu.Lock()
+	h.crashCauses.RecordServed(now, r.partsAt(choice))
+	if len(h.blockedParts) > 0 {
+		h.logCauses(now)
+	}
 	empty := h.quarantines.Empty() && h.crashes.Empty()
 	h.mu.Unlock()
 	if empty {
 		return
 	}
-	content, now := r.contentDigest(), h.Now()
+	content := r.contentDigest()
 	h.mu.Lock()
 	h.crashes.RecordSuccess(content)
 	cleared := h.quarantines.RecordSuccess(now, content)
@@ -95,9 +154,11 @@
 	now := h.Now()
 	h.mu.Lock()
 	suspect := h.crashes.Suspects(content) || h.quarantines.Suspects(content)
-	known := h.crashes.RecordBrokenAnswer(now, lifetime, content)
+	parts := r.partsAt(choice)
+	known := h.crashes.RecordBrokenAnswer(now, lifetime, content, parts)
 	if known {
 		h.recordCrash(now, lifetime, content)
+		h.recordCrashedParts(now, lifetime, parts)
 	}
 	h.mu.Unlock()
 	switch {
@@ -132,12 +193,13 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	contents := h.crashes.RecordCrash(now, lifetime)
+	contents, parts := h.crashes.RecordCrash(now, lifetime)
 	if len(contents) == 0 {
 		return
 	}
 	endpointsDown.Inc()
-	h.Log.Warn("endpoint-down", "endpoint", string(lifetime.Endpoint), "lifetime", lifetime.Born, "contents", len(contents), "cause", cause)
+	h.Log.Warn("endpoint-down", "endpoint", string(lifetime.Endpoint), "lifetime", lifetime.Born, "contents", len(contents), "parts", len(parts), "cause", cause)
+	h.recordCrashedParts(now, lifetime, parts)
 	for _, content := range contents {
 		h.recordCrash(now, lifetime, content)
 	}
@@ -150,6 +212,45 @@
 	h.crashes.RecordPlannedStop(lifetime)
 }
 
+// recordCrashedParts records the parts of the prompts that an endpoint was working on when it crashed. h.mu must be held.
+func (h *Handler) recordCrashedParts(now unit.Moment, lifetime registry.Lifetime, parts []crashcause.Part) {
+	if len(parts) == 0 {
+		return
+	}
+	h.crashCauses.RecordCrash(now, lifetime, parts)
+	h.logCauses(now)
+}
+
+// MergeCrashCauses applies another host's notices of crashes and of answered parts.
+func (h *Handler) MergeCrashCauses(notices []crashcause.Notice) {
+	if len(notices) == 0 {
+		return
+	}
+	now := h.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashCauses.Merge(now, notices)
+	h.logCauses(now)
+}
+
+// logCauses logs the parts that are blocked or free since the last call. h.mu must be held.
+func (h *Handler) logCauses(now unit.Moment) {
+	blocked := map[crashcause.PartID]struct{}{}
+	for _, c := range h.crashCauses.Causes(now) {
+		blocked[c.Part] = struct{}{}
+		if _, known := h.blockedParts[c.Part]; !known {
+			partsBlocked.Inc()
+			h.Log.Warn("part-blocked", "part", fmt.Sprintf("%016x", uint64(c.Part)), "crashes", c.Crashes, "for-ms", c.Until.Sub(now).Milliseconds())
+		}
+	}
+	for id := range h.blockedParts {
+		if _, still := blocked[id]; !still {
+			h.Log.Info("part-cleared", "part", fmt.Sprintf("%016x", uint64(id)))
+		}
+	}
+	h.blockedParts = blocked
+}
+
 // recordCrash records that an endpoint crashed while it ran a content. h.mu must be held, without a break since h.crashes reported
 // the crash: a success recorded in between would not clear the content.
 func (h *Handler) recordCrash(now unit.Moment, lifetime registry.Lifetime, content unit.Digest) {
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -23,6 +23,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/crash"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 )
@@ -77,6 +78,8 @@
 	ledger         *retrybudget.Budget
 	crashes        *crash.Tracker
 	quarantines    *quarantine.Register
+	crashCauses    *crashcause.Register
+	blockedParts   map[crashcause.PartID]struct{} // as logged last
 	cancellable    map[*assign.Attempt]cancellableAttempt
 	longestTimeout map[string]time.Duration // by route name; see probablyRefusedBefore
 	permits        permitWait
@@ -94,7 +97,7 @@
 func New(d Dependencies) *Handler {
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: retrybudget.New(d.Allowance),
-		crashes: crash.New(), quarantines: quarantine.New(), permits: newPermitWait(),
+		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(),
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 	}
 }
@@ -163,7 +166,8 @@
 	customer *table.Customer // nil on public routes
 	work     assign.Request
 	body     []byte
-	digest   unit.Digest // see contentDigest; zero until it is computed
+	digest   unit.Digest         // see contentDigest; zero until it is computed
+	parts    []crashcause.PartID // of the prompt, without its last part
 	// probes counts the running probes of endpoints at which earlier attempts broke off.
 	probes   sync.WaitGroup
 	deadline unit.Moment
@@ -247,6 +251,7 @@
 		return err
 	}
 	r.work = r.newWork()
+	r.parts = r.sharedParts()
 	return nil
 }
 
@@ -352,6 +357,9 @@
 	if result.notRun {
 		return true
 	}
+	if r.suspectsParts() {
+		return false
+	}
 	return r.route.Repeatable() && r.possibleRuns < r.route.MaxEndpoints
 }
 
--- a/internal/control/savedstate/file.go
+++ b/internal/control/savedstate/file.go
@@ -17,6 +17,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
@@ -29,6 +30,7 @@
 	Weights   map[unit.ModelName]decisions.WeightsNumber `cbor:"2,keyasint"`
 	Endpoints registry.Update                            `cbor:"3,keyasint"`
 	Crashes   []quarantine.Notice                        `cbor:"4,keyasint,omitempty"`
+	Causes    []crashcause.Notice                        `cbor:"5,keyasint,omitempty"`
 }
 
 // fileContent is the content of one file. Checksum is the xxHash of State, which is an encoded State.
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -90,6 +91,7 @@
 	// crashesSent is the number of the last of this host's crash notices that the control host has, and crashesRead that of the last
 	// of the control host's notices that this host has read.
 	crashesSent, crashesRead uint64
+	causesSent, causesRead   uint64      // the same for notices of crashed and answered parts of prompts
 	connected                bool        // the last sync with a control host was successful
 	endpointsSeen            atomic.Bool // at least one endpoint has been usable since the start
 
@@ -219,7 +221,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.handler.WithQuarantines(func(q *quarantine.Register) { request.Crashes = q.Since(now, g.crashesSent) })
-	request.CrashesRead = g.crashesRead
+	g.handler.WithCrashCauses(func(c *crashcause.Register) { request.Causes = c.Since(now, g.causesSent) })
+	request.CrashesRead, request.CausesRead = g.crashesRead, g.causesRead
 	g.currentHost = g.chooseControlHost(now)
 	load := tally.EndpointLoads{}
 	for id, l := range own {
@@ -320,15 +323,17 @@
 	}
 }
 
-// applyCrashes merges a control host's notices of contents that crashed endpoints.
+// applyCrashes merges a control host's notices of contents and parts of prompts that crashed endpoints.
 func (g *Gateway) applyCrashes(name unit.HostName, request *hub.SyncRequest, answer *hub.SyncAnswer) {
 	g.mu.Lock()
 	g.crashesSent, g.crashesRead = request.Crashes.Number, answer.Crashes.Number
+	g.causesSent, g.causesRead = request.Causes.Number, answer.Causes.Number
 	if answer.Epoch != request.Epoch {
 		// The request held the notices that another control host, or this one before its restart, hadn't received yet.
-		g.crashesSent = 0
+		g.crashesSent, g.causesSent = 0, 0
 	}
 	g.mu.Unlock()
+	g.handler.MergeCrashCauses(answer.Causes.Notices)
 	var quarantined []unit.Digest
 	g.handler.WithQuarantines(func(q *quarantine.Register) { quarantined = q.Merge(g.Timer.Now(), answer.Crashes.Notices) })
 	for _, content := range quarantined {
@@ -453,6 +458,7 @@
 // prune removes endpoints that have been silent for long, and quarantines that have expired.
 func (g *Gateway) prune(context.Context) {
 	g.handler.WithQuarantines(func(q *quarantine.Register) { q.Prune(g.Timer.Now()) })
+	g.handler.WithCrashCauses(func(c *crashcause.Register) { c.Prune(g.Timer.Now()) })
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.Prune(g.Timer.Now())
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -10,6 +10,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -98,22 +99,26 @@
 	entry := h.entries[from]
 	entry.heardAt, entry.load, entry.loadNumber = now, load, request.LoadNumber
 	entry.wantedPermits = h.endpointCounts(request.WantedPermits, h.registry.ID)
-	since, holdingNumber, crashes := request.RegistryNumber, request.HoldingNumber, request.CrashesRead
+	since, holdingNumber, crashes, causes := request.RegistryNumber, request.HoldingNumber, request.CrashesRead, request.CausesRead
 	if request.Epoch != h.Incarnation {
 		// The request's numbers and indexes refer to another hub, or to this one before it restarted.
-		since, holdingNumber, crashes = 0, ^uint64(0), 0
+		since, holdingNumber, crashes, causes = 0, ^uint64(0), 0, 0
 		entry.load, entry.loadNumber, entry.includedNumber = nil, 0, 0
 		entry.wantedPermits, entry.granted = nil, nil
 	}
 	h.addShared(now, request.Shared)
 	h.mergeCrashes(now, from, request.Crashes)
+	h.crashCauses.Merge(now, request.Causes.Notices)
 	for _, l := range request.Leaving {
 		h.markLeaving(l, string(from))
 	}
 	for _, l := range request.Limits {
 		h.learnLimit(l.Lifetime, l.Limit, from)
 	}
-	answer := SyncAnswer{Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.ChangesSince(holdingNumber), Crashes: h.crashes.Since(now, crashes)}
+	answer := SyncAnswer{
+		Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.ChangesSince(holdingNumber),
+		Crashes: h.crashes.Since(now, crashes), Causes: h.crashCauses.Since(now, causes),
+	}
 	if h.loads.computedAt > entry.loadsSentAt && now.Sub(entry.loadsSentAt) >= loadsPause(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.IncludedLoadNumber, answer.HasLoads = h.loads.packed, now.Sub(h.loads.computedAt), entry.includedNumber, true
 		entry.loadsSentAt = now
@@ -219,7 +224,7 @@
 	if err != nil {
 		return err
 	}
-	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, loads: tally.EndpointLoads{}}
+	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, loads: tally.EndpointLoads{}}
 	if state.Leader {
 		h.leaderHeardAt = now
 	}
@@ -236,6 +241,10 @@
 	if state.CrashesAfter <= known.readCrashes && state.Crashes.Number >= known.readCrashes {
 		updated.readCrashes = state.Crashes.Number
 	}
+	h.crashCauses.Merge(now, state.Causes.Notices)
+	if state.CausesAfter <= known.readCauses && state.Causes.Number >= known.readCauses {
+		updated.readCauses = state.Causes.Number
+	}
 	h.shared.AddShared(now, state.Shared)
 	for index, load := range loads {
 		if id, ok := known.numbering.ID(index); ok {
@@ -244,7 +253,7 @@
 	}
 	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits = nil, nil
+	state.WantedPermits, state.Permits, state.Causes = nil, nil, crashcause.Update{}
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -28,6 +28,7 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
@@ -114,6 +115,7 @@
 	shared             *sharing.Filter
 	newlyShared        []sharing.PartID // shared parts not yet sent to the other control hosts
 	crashes            *quarantine.Register
+	crashCauses        *crashcause.Register // only collects and forwards evidence
 	loads              loadSum
 	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
 	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
@@ -121,8 +123,8 @@
 	storeTableVersion  table.Version
 	savedEndpoints     uint64 // content number of the registry at the last save
 	unsavedBookChanges int    // number of changes of the decisions since the last save
-	// savedCrashes is the number of the last change of crashes at the last save.
-	savedCrashes uint64
+	// savedCrashes and savedCauses are the numbers of the last changes of crashes and crashCauses at the last save.
+	savedCrashes, savedCauses uint64
 }
 
 // entryState is what an entry host sent last.
@@ -152,6 +154,7 @@
 	readRegistry uint64                  // number of the peer's last change of endpoints that this host has read
 	readHolding  uint64                  // number of the peer's last change of cached parts that this host has read
 	readCrashes  uint64                  // number of the peer's last change of crashes that this host has read
+	readCauses   uint64                  // number of the peer's last change of crashCauses that this host has read
 	wanted       map[unit.EndpointID]int // permits that the peer's entry hosts want
 }
 
@@ -162,7 +165,7 @@
 		entries: map[unit.HostName]entryState{}, peers: map[unit.HostName]peerState{}, planner: upgrade.New(d.LeaseWait),
 		ownHoldings: cachedparts.New(), holdings: cachedparts.New(), peerHoldings: map[unit.HostName]*cachedparts.Map{},
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
-		shared: sharing.New(), crashes: quarantine.New(), permits: map[unit.EndpointID]*endpointPermits{},
+		shared: sharing.New(), crashes: quarantine.New(), crashCauses: crashcause.New(0), permits: map[unit.EndpointID]*endpointPermits{},
 	}
 	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
@@ -187,28 +190,30 @@
 	}
 	h.registry.Merge(h.Timer.Now(), state.Endpoints, &registry.Numbering{})
 	h.crashes.Merge(h.Timer.Now(), state.Crashes)
+	h.crashCauses.Merge(h.Timer.Now(), state.Causes)
 	h.tablePage = state.Table
 	if state.Weights != nil {
 		h.weights = state.Weights
 	}
 	h.Log.Info("state-restored", "table-version", uint64(h.tablePage.Version), "endpoints", len(state.Endpoints.Records),
-		"crashes", len(state.Crashes))
+		"crashes", len(state.Crashes), "causes", len(state.Causes))
 }
 
 // saveState saves what this host knows for its next start, if it has changed.
 func (h *Hub) saveState(context.Context) {
 	h.mu.Lock()
 	content := h.registry.ContentNumber()
-	crashes := h.crashes.Number()
-	if content == h.savedEndpoints && h.unsavedBookChanges == 0 && crashes == h.savedCrashes {
+	crashes, causes := h.crashes.Number(), h.crashCauses.Number()
+	if content == h.savedEndpoints && h.unsavedBookChanges == 0 && crashes == h.savedCrashes && causes == h.savedCauses {
 		h.mu.Unlock()
 		return
 	}
 	now := h.Timer.Now()
 	state := savedstate.State{
 		Table: h.tablePage, Weights: maps.Clone(h.weights), Endpoints: h.registry.Since(now, 0), Crashes: h.crashes.Export(now),
+		Causes: h.crashCauses.Export(now),
 	}
-	h.savedEndpoints, h.unsavedBookChanges, h.savedCrashes = content, 0, crashes
+	h.savedEndpoints, h.unsavedBookChanges, h.savedCrashes, h.savedCauses = content, 0, crashes, causes
 	h.mu.Unlock()
 	if err := h.stateFile.Save(state); err != nil {
 		h.Log.Warn("state-not-saved", "cause", err.Error())
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -43,14 +43,14 @@
 			continue
 		}
 		peer := h.peers[name]
-		registryRead, holdingRead, crashesRead := peer.ReadRegistry, peer.ReadHolding, peer.ReadCrashes
+		registryRead, holdingRead, crashesRead, causesRead := peer.ReadRegistry, peer.ReadHolding, peer.ReadCrashes, peer.ReadCauses
 		if peer.ReadEpoch != h.Incarnation {
-			registryRead, holdingRead, crashesRead = 0, 0, 0
+			registryRead, holdingRead, crashesRead, causesRead = 0, 0, 0, 0
 		}
 		state.Update, state.Holding = h.registry.Since(now, registryRead), h.ownHoldings.ChangesSince(holdingRead)
-		state.Crashes = h.crashes.Since(now, crashesRead)
-		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter = registryRead, holdingRead, crashesRead
-		state.ReadEpoch, state.ReadRegistry, state.ReadHolding, state.ReadCrashes = peer.Epoch, peer.readRegistry, peer.readHolding, peer.readCrashes
+		state.Crashes, state.Causes = h.crashes.Since(now, crashesRead), h.crashCauses.Since(now, causesRead)
+		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter, state.CausesAfter = registryRead, holdingRead, crashesRead, causesRead
+		state.ReadEpoch, state.ReadRegistry, state.ReadHolding, state.ReadCrashes, state.ReadCauses = peer.Epoch, peer.readRegistry, peer.readHolding, peer.readCrashes, peer.readCauses
 		state.Permits = h.countPermits(now, granted[name])
 		messages[name] = state
 	}
@@ -216,6 +216,7 @@
 	h.registry.Prune(now)
 	h.shared.Prune(now)
 	h.crashes.Prune(now)
+	h.crashCauses.Prune(now)
 	for name, entry := range h.entries {
 		if now.Sub(entry.heardAt) > pruneInterval {
 			delete(h.entries, name)
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -11,6 +11,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
@@ -41,6 +42,10 @@
 	Limits []assign.LifetimeLimit `cbor:"11,keyasint,omitempty"`
 	// WantedPermits are the permits that the host wants for endpoints that name limits, by the indexes of that registry.
 	WantedPermits []permit.Count `cbor:"12,keyasint,omitempty"`
+	// Causes are the notices of crashed and answered parts of prompts that the hub hasn't received from this host yet. CausesRead is
+	// the number up to which the host has read the hub's notices.
+	Causes     crashcause.Update `cbor:"13,keyasint"`
+	CausesRead uint64            `cbor:"14,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -75,6 +80,8 @@
 	// permits.
 	Permits    []permit.Count `cbor:"16,keyasint,omitempty"`
 	PermitsAge time.Duration  `cbor:"17,keyasint,omitempty"`
+	// Causes are the notices of crashed and answered parts of prompts that the asking host hasn't read yet.
+	Causes crashcause.Update `cbor:"18,keyasint"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -108,6 +115,11 @@
 	// Permits are granted to the reader, which divides them among its entry hosts; only the leader grants any.
 	WantedPermits []permit.Count `cbor:"19,keyasint,omitempty"`
 	Permits       []permit.Count `cbor:"20,keyasint,omitempty"`
+	// Causes, CausesAfter and ReadCauses are to the notices of crashed and answered parts of prompts what Crashes, CrashesAfter and
+	// ReadCrashes are to those of contents.
+	Causes      crashcause.Update `cbor:"21,keyasint"`
+	CausesAfter uint64            `cbor:"22,keyasint,omitempty"`
+	ReadCauses  uint64            `cbor:"23,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/routing/crash/watch.go
+++ b/internal/routing/crash/watch.go
@@ -1,4 +1,4 @@
-// Package crash determines which contents were running at endpoints when these crashed. An answer that breaks off may
+// Package crash determines which requests were running at endpoints when these crashed. An answer that breaks off may
 // also be due to a lost connection, so it alone doesn't show that the endpoint crashed.
 package crash
 
@@ -8,6 +8,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 )
 
 const (
@@ -30,6 +31,7 @@
 // brokenAttempt is an attempt that ended without a complete answer.
 type brokenAttempt struct {
 	content unit.Digest
+	parts   []crashcause.Part // parts of the prompt that other requests may share
 	at      unit.Moment
 }
 
@@ -40,7 +42,7 @@
 
 // RecordBrokenAnswer records that an attempt ended without a complete answer. It reports whether the endpoint is known to have
 // crashed.
-func (w *Tracker) RecordBrokenAnswer(now unit.Moment, l registry.Lifetime, content unit.Digest) (crashed bool) {
+func (w *Tracker) RecordBrokenAnswer(now unit.Moment, l registry.Lifetime, content unit.Digest, parts []crashcause.Part) (crashed bool) {
 	w.prune(now)
 	if _, crashed = w.crashedAt[l]; crashed {
 		return true
@@ -48,7 +50,7 @@
 	if len(w.brokenAttempts) >= maxLifetimes && w.brokenAttempts[l] == nil || len(w.brokenAttempts[l]) >= maxAttempts {
 		return false
 	}
-	w.brokenAttempts[l] = append(w.brokenAttempts[l], brokenAttempt{content, now})
+	w.brokenAttempts[l] = append(w.brokenAttempts[l], brokenAttempt{content, parts, now})
 	return false
 }
 
@@ -90,20 +92,27 @@
 	return lifetimes
 }
 
-// RecordCrash records that a lifetime has ended without notice, and returns the contents of its broken attempts, each once.
-func (w *Tracker) RecordCrash(now unit.Moment, l registry.Lifetime) []unit.Digest {
+// RecordCrash records that a lifetime has ended without notice, and returns the contents and the parts of its broken attempts, each
+// once.
+func (w *Tracker) RecordCrash(now unit.Moment, l registry.Lifetime) ([]unit.Digest, []crashcause.Part) {
 	w.prune(now)
 	var contents []unit.Digest
+	var parts []crashcause.Part
 	for _, a := range w.brokenAttempts[l] {
 		if !slices.Contains(contents, a.content) {
 			contents = append(contents, a.content)
 		}
+		for _, p := range a.parts {
+			if !slices.Contains(parts, p) {
+				parts = append(parts, p)
+			}
+		}
 	}
 	delete(w.brokenAttempts, l)
 	if len(w.crashedAt) < maxLifetimes {
 		w.crashedAt[l] = now
 	}
-	return contents
+	return contents, parts
 }
 
 // RecordPlannedStop records that a lifetime ends as announced, so that the contents of its broken attempts aren't blamed.
--- /dev/null
+++ b/internal/routing/crashcause/register.go
@@ -0,0 +1,370 @@
+// Package crashcause determines which parts of prompts crash the engines that run requests with them. When an engine crashes, all
+// requests that it was running break off, so most parts of these requests are harmless. A part is cleared when a request with it is
+// answered completely, and a crash that one part explains isn't held against the others.
+package crashcause
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+)
+
+const (
+	// crashesNeeded is the number of crashes without a complete answer since the first of them after which a part is blocked.
+	crashesNeeded = 3
+	// suspectCrashes is the number of such crashes from which a request with the part isn't sent again after a failed attempt.
+	suspectCrashes = 2
+	// simultaneity is the time within which crashes count once: engines that go down together have another common cause than a
+	// part, whose requests arrive one after the other.
+	simultaneity = 100 * time.Millisecond
+	// blockDuration is how long a part is blocked after the last crash under it. Hosts end a block at different times within
+	// blockSpread, so that the host that tries the part first can report another crash before the others do.
+	blockDuration, blockSpread = 2 * time.Hour, 30 * time.Minute
+	retention                  = 3 * blockDuration
+	// maxCrashes limits the remembered crashes, maxParts the parts of each of them.
+	maxCrashes, maxParts = 128, 512
+	// maxRecentParts limits the parts that this host remembers as served.
+	maxRecentParts = 16_384
+	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
+	maxUpdateParts = 256
+	// minServedAdvance is the minimum by which the time of a part's last complete answer must advance to be reported. It is far
+	// above the transmission time of a message, so that hosts don't take another host's report for a later answer.
+	minServedAdvance = time.Second
+)
+
+// PartID identifies a part of a prompt for one model.
+type PartID uint64
+
+// NewPartID returns the hash that identifies a part.
+func NewPartID(model unit.ModelName, id string) PartID {
+	return PartID(xxhash.Sum64String(string(model) + "\x00" + id))
+}
+
+// Part is a part of a prompt that was sent to an engine.
+type Part struct {
+	_        struct{} `cbor:",toarray"`
+	ID       PartID
+	Position uint8                   // in the prompt, from 0
+	Weights  decisions.WeightsNumber // of the prompt's model at the engine
+}
+
+// Notice is an event that hosts report to each other: a crash, or complete answers.
+type Notice struct {
+	// Lifetime is the lifetime of the engine that crashed, empty in a notice of complete answers.
+	Lifetime registry.Lifetime `cbor:"1,keyasint,omitzero"`
+	// Parts are the parts of the requests that broke off with the engine, or the parts that were answered.
+	Parts []Part        `cbor:"2,keyasint"`
+	Age   time.Duration `cbor:"3,keyasint"` // time since the crash was noticed, or since the last answer
+}
+
+// Update contains the changes of a register that a peer hasn't received yet.
+type Update struct {
+	Number  uint64   `cbor:"1,keyasint"` // number of the last change that is included in Notices or was sent before
+	Notices []Notice `cbor:"2,keyasint,omitempty"`
+}
+
+// Register is one host's view of crashes and of the parts that cause them. All registers that have received the same notices block
+// the same parts. It is a deterministic state machine and not safe for concurrent use.
+type Register struct {
+	extraBlockTime time.Duration
+	crashes        map[registry.Lifetime]*crash
+	served         map[PartID]*answer                    // of the parts that stand in crashes
+	recent         *simplelru.LRU[PartID, answerVersion] // this host's own complete answers
+	causes         map[PartID]Cause
+	explained      map[registry.Lifetime]bool // crashes of causes
+	outdated       bool                       // causes and explained must be computed again
+	number         uint64
+}
+
+type crash struct {
+	at         unit.Moment
+	parts      map[PartID]Part
+	lastChange uint64
+}
+
+// answerVersion is a complete answer: when it ended, and on which weights.
+type answerVersion struct {
+	weights decisions.WeightsNumber
+	at      unit.Moment
+}
+
+// answer is the last complete answer to a request with a part.
+type answer struct {
+	answerVersion
+	lastChange uint64
+}
+
+// Cause is a part that is blocked because it explains crashes.
+type Cause struct {
+	Part    PartID
+	Crashes int // crashes that it explains
+	Until   unit.Moment
+}
+
+// New returns an empty register. The draw is a random number in [0, 1) that sets the host's end of a block within blockSpread.
+func New(draw float64) *Register {
+	recent, _ := simplelru.NewLRU[PartID, answerVersion](maxRecentParts, nil) // fails only for a size below 1
+	return &Register{
+		extraBlockTime: time.Duration(draw * float64(blockSpread)), crashes: map[registry.Lifetime]*crash{}, served: map[PartID]*answer{},
+		recent: recent, causes: map[PartID]Cause{}, explained: map[registry.Lifetime]bool{},
+	}
+}
+
+// RecordCrash records that an engine crashed while it ran requests with these parts.
+func (r *Register) RecordCrash(now unit.Moment, l registry.Lifetime, parts []Part) {
+	r.addCrash(now, Notice{Lifetime: l, Parts: parts})
+}
+
+// RecordServed records a complete answer to a request with these parts.
+func (r *Register) RecordServed(now unit.Moment, parts []Part) {
+	for _, p := range parts {
+		v := answerVersion{p.Weights, now}
+		r.recent.Add(p.ID, v)
+		if len(r.crashes) > 0 {
+			r.addServed(p.ID, v)
+		}
+	}
+}
+
+// Check returns the cause of crashes among the parts, if one of them is blocked.
+func (r *Register) Check(now unit.Moment, parts []PartID) (Cause, bool) {
+	if len(r.crashes) == 0 {
+		return Cause{}, false
+	}
+	r.update()
+	for _, id := range parts {
+		if c, ok := r.causes[id]; ok && now.Before(c.Until) {
+			return c, true
+		}
+	}
+	return Cause{}, false
+}
+
+// Suspects reports whether one of the parts may have caused at least two crashes, so that a request with it shouldn't be sent to
+// another engine after a failed attempt.
+func (r *Register) Suspects(parts []PartID) bool {
+	if len(r.crashes) == 0 {
+		return false
+	}
+	r.update()
+	for _, id := range parts {
+		if countSeparate(r.unexplainedCrashes(id)) >= suspectCrashes {
+			return true
+		}
+	}
+	return false
+}
+
+// Causes returns the parts that are blocked, sorted by their ids.
+func (r *Register) Causes(now unit.Moment) []Cause {
+	r.update()
+	var causes []Cause
+	for _, c := range r.causes {
+		if now.Before(c.Until) {
+			causes = append(causes, c)
+		}
+	}
+	slices.SortFunc(causes, func(a, b Cause) int { return cmp.Compare(a.Part, b.Part) })
+	return causes
+}
+
+// Number returns the number of the last change.
+func (r *Register) Number() uint64 {
+	return r.number
+}
+
+// Since returns the changes after the given number. To get the remaining ones, the peer asks again with the number of the update. A
+// number that this register hasn't reached is treated as 0.
+func (r *Register) Since(now unit.Moment, number uint64) Update {
+	if number == r.number {
+		return Update{Number: number}
+	}
+	if number > r.number {
+		number = 0
+	}
+	type change struct {
+		number uint64
+		notice Notice
+	}
+	var changes []change
+	for l, c := range r.crashes {
+		if c.lastChange > number {
+			changes = append(changes, change{c.lastChange, Notice{Lifetime: l, Parts: c.sortedParts(), Age: now.Sub(c.at)}})
+		}
+	}
+	for id, a := range r.served {
+		if a.lastChange > number {
+			changes = append(changes, change{a.lastChange, Notice{Parts: []Part{{ID: id, Weights: a.weights}}, Age: now.Sub(a.at)}})
+		}
+	}
+	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.number, b.number) })
+	update, parts := Update{Number: r.number}, 0
+	for _, c := range changes {
+		if parts >= maxUpdateParts {
+			return update
+		}
+		update.Notices, update.Number = append(update.Notices, c.notice), c.number
+		parts += len(c.notice.Parts)
+	}
+	update.Number = r.number
+	return update
+}
+
+// Export returns all notices, for a register that has none.
+func (r *Register) Export(now unit.Moment) []Notice {
+	var notices []Notice
+	for number := uint64(0); number < r.number; {
+		update := r.Since(now, number)
+		notices, number = append(notices, update.Notices...), update.Number
+	}
+	return notices
+}
+
+// Merge applies a peer's notices.
+func (r *Register) Merge(now unit.Moment, notices []Notice) {
+	for _, n := range notices {
+		n.Age = min(max(n.Age, 0), retention)
+		if n.Lifetime != (registry.Lifetime{}) {
+			r.addCrash(now, n)
+			continue
+		}
+		for _, p := range n.Parts {
+			r.addServed(p.ID, answerVersion{p.Weights, now.Add(-n.Age)})
+		}
+	}
+}
+
+// Prune removes crashes that are older than retention.
+func (r *Register) Prune(now unit.Moment) {
+	for l, c := range r.crashes {
+		if now.Sub(c.at) > retention {
+			r.remove(l)
+		}
+	}
+}
+
+// addCrash merges a crash with what is known of the same lifetime.
+func (r *Register) addCrash(now unit.Moment, n Notice) {
+	at := now.Add(-n.Age)
+	c := r.crashes[n.Lifetime]
+	if c == nil {
+		c = &crash{at: at, parts: map[PartID]Part{}}
+		r.crashes[n.Lifetime] = c
+		r.outdated = true
+		r.recordChange(&c.lastChange)
+	}
+	if at < c.at {
+		c.at, r.outdated = at, true
+	}
+	for _, p := range n.Parts {
+		if _, known := c.parts[p.ID]; known || len(c.parts) >= maxParts {
+			continue
+		}
+		c.parts[p.ID] = p
+		r.outdated = true
+		r.recordChange(&c.lastChange)
+		if v, ok := r.recent.Peek(p.ID); ok {
+			r.addServed(p.ID, v)
+		}
+	}
+	r.evictExcess(n.Lifetime)
+}
+
+// addServed records the last complete answer to a request with a part, if the part stands in a crash.
+func (r *Register) addServed(id PartID, v answerVersion) {
+	known := r.served[id]
+	if known == nil {
+		if !r.standsInCrash(id) {
+			return
+		}
+		known = &answer{answerVersion: v}
+		r.served[id] = known
+	} else if v.weights < known.weights || v.weights == known.weights && v.at < known.at.Add(minServedAdvance) {
+		return
+	}
+	known.answerVersion = v
+	r.outdated = true
+	r.recordChange(&known.lastChange)
+}
+
+func (r *Register) standsInCrash(id PartID) bool {
+	for _, c := range r.crashes {
+		if _, ok := c.parts[id]; ok {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Register) recordChange(lastChange *uint64) {
+	r.number++
+	*lastChange = r.number
+}
+
+// evictExcess makes room after a crash was added, by removing the oldest crash that doesn't support a block.
+func (r *Register) evictExcess(added registry.Lifetime) {
+	if len(r.crashes) <= maxCrashes {
+		return
+	}
+	r.update()
+	var oldest registry.Lifetime
+	var oldestRank [2]int64
+	for l, c := range r.crashes {
+		rank := [2]int64{0, int64(c.at)}
+		if r.supportsBlock(c) {
+			rank[0] = 1
+		}
+		if l != added && (oldest == (registry.Lifetime{}) || slices.Compare(rank[:], oldestRank[:]) < 0) {
+			oldest, oldestRank = l, rank
+		}
+	}
+	r.remove(oldest)
+}
+
+func (r *Register) supportsBlock(c *crash) bool {
+	for id := range r.causes {
+		if r.holds(c, id) {
+			return true
+		}
+	}
+	return false
+}
+
+// remove removes a crash and the answers to parts that stand in no other crash.
+func (r *Register) remove(l registry.Lifetime) {
+	parts := r.crashes[l].parts
+	delete(r.crashes, l)
+	for id := range parts {
+		if !r.standsInCrash(id) {
+			delete(r.served, id)
+		}
+	}
+	r.outdated = true
+}
+
+// holds reports whether a crash counts against a part: no request with the part has been answered on the same weights or newer ones
+// since.
+func (r *Register) holds(c *crash, id PartID) bool {
+	p, ok := c.parts[id]
+	if !ok {
+		return false
+	}
+	a := r.served[id]
+	return a == nil || a.weights < p.Weights || a.at < c.at
+}
+
+func (c *crash) sortedParts() []Part {
+	parts := make([]Part, 0, len(c.parts))
+	for _, p := range c.parts {
+		parts = append(parts, p)
+	}
+	slices.SortFunc(parts, func(a, b Part) int { return cmp.Compare(a.ID, b.ID) })
+	return parts
+}
--- /dev/null
+++ b/internal/routing/crashcause/register_test.go
@@ -0,0 +1,206 @@
+package crashcause
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+)
+
+func lifetime(n int) registry.Lifetime { return registry.Lifetime{Endpoint: "e", Born: int64(n)} }
+
+func at(t time.Duration) unit.Moment { return unit.Moment(t) }
+
+// prompt returns the parts of a prompt in order.
+func prompt(ids ...PartID) []Part {
+	var parts []Part
+	for i, id := range ids {
+		parts = append(parts, Part{ID: id, Position: uint8(i)})
+	}
+	return parts
+}
+
+const (
+	first   PartID = 1
+	subject PartID = 2
+	deadly  PartID = 3
+	other   PartID = 4
+)
+
+// Guards against blocking parts that didn't cause crashes, and against letting the one through that did.
+func TestThePartThatExplainsTheCrashesIsBlocked(t *testing.T) {
+	crashAt := func(r *Register, n int, when time.Duration, parts ...Part) {
+		r.RecordCrash(at(when), lifetime(n), parts)
+	}
+	cases := []struct {
+		name    string
+		run     func(r *Register)
+		blocked []PartID
+	}{
+		{name: "nothing happened", run: func(*Register) {}},
+		{name: "two crashes may be a coincidence", run: func(r *Register) {
+			crashAt(r, 1, 0, prompt(first, deadly)...)
+			crashAt(r, 2, time.Second, prompt(first, deadly)...)
+		}},
+		{name: "the same lifetime counts once", run: func(r *Register) {
+			for i := range 5 {
+				crashAt(r, 1, time.Duration(i)*time.Second, prompt(first, deadly)...)
+			}
+		}},
+		{name: "engines that go down together", run: func(r *Register) {
+			for i := range 9 {
+				crashAt(r, i, time.Duration(i)*10*time.Millisecond, prompt(first, subject)...)
+			}
+		}},
+		{name: "the part behind those that it always follows", run: func(r *Register) {
+			for i := range 3 {
+				crashAt(r, i, time.Duration(i)*time.Second, prompt(first, subject, deadly)...)
+			}
+		}, blocked: []PartID{deadly}},
+		{name: "not a part that stands in more crashes and was answered before", run: func(r *Register) {
+			r.RecordServed(0, prompt(first, subject))
+			for i := range 4 {
+				crashAt(r, i, time.Duration(i+1)*time.Second, prompt(first, subject)...)
+				if i > 0 {
+					crashAt(r, i, time.Duration(i+1)*time.Second, prompt(first, subject, deadly)...)
+				}
+			}
+		}, blocked: []PartID{deadly}},
+		{name: "a part that was answered until now", run: func(r *Register) {
+			r.RecordServed(0, prompt(first, deadly))
+			for i := range 3 {
+				crashAt(r, i, time.Duration(2*i+1)*time.Second, prompt(first, deadly)...)
+				r.RecordServed(at(time.Duration(2*i+2)*time.Second), prompt(first))
+			}
+		}, blocked: []PartID{deadly}},
+		{name: "answers on older weights clear nothing", run: func(r *Register) {
+			old, updated := prompt(deadly), prompt(deadly)
+			updated[0].Weights = 2
+			for i := range 3 {
+				crashAt(r, i, time.Duration(2*i+1)*time.Second, updated...)
+				r.RecordServed(at(time.Duration(2*i+2)*time.Second), old)
+			}
+		}, blocked: []PartID{deadly}},
+		{name: "two deadly parts", run: func(r *Register) {
+			for i := range 6 {
+				crashAt(r, i, time.Duration(i)*time.Second, prompt(first, []PartID{deadly, other}[i%2])...)
+				r.RecordServed(at(time.Duration(i)*time.Second+500*time.Millisecond), prompt(first))
+			}
+		}, blocked: []PartID{deadly, other}},
+		{name: "a wrong guess ends with the crash that it doesn't explain", run: func(r *Register) {
+			for i := range 3 {
+				crashAt(r, i, time.Duration(i)*time.Second, prompt(deadly, other)...)
+			}
+			crashAt(r, 3, 4*time.Second, prompt(deadly, subject)...)
+		}, blocked: []PartID{deadly}},
+		{name: "a complete answer ends the block", run: func(r *Register) {
+			for i := range 3 {
+				crashAt(r, i, time.Duration(i)*time.Second, prompt(deadly)...)
+			}
+			r.RecordServed(at(5*time.Second), prompt(deadly))
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(0)
+			c.run(r)
+			var blocked []PartID
+			for _, cause := range r.Causes(at(10 * time.Second)) {
+				blocked = append(blocked, cause.Part)
+			}
+			assert.DeepEqual(t, blocked, c.blocked)
+		})
+	}
+}
+
+// Guards against a second attempt with a part that has crashed two engines, and against withholding it from requests that merely
+// broke off with these engines.
+func TestOnlyUnexplainedCrashesMakeAPartSuspect(t *testing.T) {
+	r := New(0)
+	r.RecordCrash(0, lifetime(0), prompt(first, deadly))
+	assert.Assert(t, !r.Suspects([]PartID{first, deadly}))
+	r.RecordCrash(at(time.Second), lifetime(1), prompt(first, deadly))
+	assert.Assert(t, r.Suspects([]PartID{first, deadly}))
+	r.RecordCrash(at(2*time.Second), lifetime(2), prompt(first, deadly))
+	assert.Assert(t, !r.Suspects([]PartID{first}), "the other part explains the crashes")
+}
+
+// Guards against hosts that block different parts although they know of the same events, and against a host that learns that a part
+// crashes engines and doesn't say that it has answered requests with it.
+func TestHostsWithTheSameNoticesBlockTheSameParts(t *testing.T) {
+	for seed := range 50 {
+		random := rand.New(rand.NewPCG(uint64(seed), 1))
+		hosts := []*Register{New(0), New(0), New(0)}
+		for i := range 40 {
+			now := at(time.Duration(i) * 300 * time.Millisecond)
+			h := hosts[random.IntN(len(hosts))]
+			parts := prompt(PartID(random.IntN(2)), 10+PartID(random.IntN(3)), 20+PartID(random.IntN(4)))
+			if random.IntN(3) == 0 {
+				h.RecordServed(now, parts[:random.IntN(3)])
+			} else {
+				h.RecordCrash(now, lifetime(random.IntN(20)), parts)
+			}
+		}
+		end := at(15 * time.Second)
+		for range 2 { // a host answers notices of crashes with what it has answered
+			for _, from := range hosts {
+				for _, to := range hosts {
+					to.Merge(end, from.Export(end))
+				}
+			}
+		}
+		for _, h := range hosts[1:] {
+			assert.DeepEqual(t, h.Causes(end), hosts[0].Causes(end))
+		}
+	}
+}
+
+// Guards against a block that is lost when all hosts restart, and against one that never ends.
+func TestABlockOutlivesARestartAndEnds(t *testing.T) {
+	r := New(0)
+	for i := range 3 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, deadly))
+	}
+	now := at(10 * time.Second)
+	restarted := New(1)
+	restarted.Merge(now, r.Export(now))
+	_, blocked := restarted.Check(now, []PartID{first, deadly})
+	assert.Assert(t, blocked)
+	_, blocked = r.Check(at(2*time.Second+blockDuration), []PartID{deadly})
+	assert.Assert(t, !blocked)
+	_, blocked = restarted.Check(at(2*time.Second+blockDuration), []PartID{deadly})
+	assert.Assert(t, blocked, "the other host waits for the first one's result")
+	again := at(3*time.Second + blockDuration)
+	r.RecordCrash(again, lifetime(9), prompt(first, deadly))
+	_, blocked = r.Check(again, []PartID{deadly})
+	assert.Assert(t, blocked, "one more crash suffices")
+	r.Prune(again.Add(retention + 1))
+	assert.Equal(t, len(r.Export(again)), 0)
+}
+
+// Guards against unbounded memory and messages in a storm of crashes, and against forgetting the crashes under a blocked part in it.
+func TestAStormOfCrashesIsBounded(t *testing.T) {
+	r := New(0)
+	for i := range 3 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, deadly))
+	}
+	var many []Part
+	for i := range 2 * maxParts {
+		many = append(many, Part{ID: PartID(1000 + i)})
+	}
+	for i := range 2 * maxCrashes {
+		r.RecordCrash(at(5*time.Second), lifetime(10+i), many)
+	}
+	assert.Assert(t, len(r.crashes) <= maxCrashes)
+	_, blocked := r.Check(at(6*time.Second), []PartID{deadly})
+	assert.Assert(t, blocked)
+	parts := 0
+	for _, n := range r.Since(at(6*time.Second), 0).Notices {
+		parts += len(n.Parts)
+	}
+	assert.Assert(t, parts <= maxUpdateParts+maxParts, "%d parts", parts)
+}
