Test answers that end with their connections, cut at every byte

An answer may come with neither a length nor chunks and end with its connection; a stream that ends within an event has broken off. No code changes: the handler keeps to it. The tests cut a stream of two events at each byte, with both kinds of line ends, once with an orderly end of the connection and once with a reset, and a body likewise.

--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -69,7 +69,8 @@
 	closed   chan struct{} // gets a value when the router closes a connection that was stalled
 }
 
-const stall = "hold" // at the end of an answer: sends nothing more until the router closes the connection
+// At the end of an answer: stall sends nothing more until the router closes the connection, reset resets the connection.
+const stall, reset = "hold", "reset"
 
 func newFakeEndpoint(t *testing.T, next func() string) *fakeEndpoint {
 	t.Helper()
@@ -104,7 +105,12 @@
 		s.mu.Unlock()
 		s.asked <- struct{}{}
 		text, stalled := strings.CutSuffix(strings.ReplaceAll(answer, "ID", r.Header.Get("Id")), stall)
+		text, resets := strings.CutSuffix(text, reset)
 		_, _ = io.WriteString(socket, text)
+		if tcp, ok := socket.(*net.TCPConn); ok && resets {
+			_ = tcp.SetLinger(0)
+			return
+		}
 		if stalled {
 			_, _ = reader.ReadByte()
 			s.closed <- struct{}{}
@@ -184,11 +190,17 @@
 
 // serveOnce sends one request through the handler over a real connection.
 func serveOnce(t *testing.T, h *Handler, path, key string) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	return servePrompt(t, h, path, key, nil)
+}
+
+// servePrompt is like serveOnce, for a request with a prompt.
+func servePrompt(t *testing.T, h *Handler, path, key string, prompt *Prompt) (status int, header http.Header, body string, err error) {
 	t.Helper()
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		h.Serve(r.Context(), w, &Call{
 			ID: "r1", Arrived: h.Now(), Method: r.Method, Host: "h", Path: r.URL.Path, Target: r.RequestURI, Header: http.Header{}, Key: key,
-			Timeout: 2 * time.Second, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
+			Timeout: 2 * time.Second, Prompt: prompt, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
 		})
 	}))
 	defer server.Close()
