Don't let an answer that ends with its endpoint's process clear parts

Cause: an answer without a length and chunks ends with its connection. If the endpoint crashes after the first event and its system closes the connection in order, the answer counts as complete and clears the content and the parts that crashed it. Change: such an answer clears them only once the endpoint has taken a connection after it; if nobody listens there any more, the attempt counts as broken off.

--- a/internal/callers/exchange/answer.go
+++ b/internal/callers/exchange/answer.go
@@ -56,10 +56,14 @@
 	b.closed = true
 	stopped := b.stopCancel()
 	reusable := stopped && b.complete && !b.response.Close && b.wholeRequestSent() && b.connection.reader.Buffered() == 0
-	if b.response.ContentLength < 0 && len(b.response.TransferEncoding) == 0 && b.response.StatusCode != http.StatusNoContent {
-		reusable = false // the body ends where the endpoint closes the connection
-	}
-	b.pending.reusable <- reusable
+	b.pending.reusable <- reusable && !a.EndsWithConnection()
+}
+
+// EndsWithConnection reports whether the answer has neither a length nor chunks, so that its body ends where the endpoint closes the
+// connection. Such a body also looks complete if the endpoint's process ended.
+func (a *Answer) EndsWithConnection() bool {
+	r := a.body.response
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && r.StatusCode != http.StatusNoContent
 }
 
 // wholeRequestSent reports whether the request was sent completely. An endpoint that answers earlier still expects the rest of it.
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -175,15 +175,21 @@
 	return r.h.Now() >= r.deadline
 }
 
-// endAttempt records the end of an attempt and logs it unless it succeeded.
+// endComplete records the end of an attempt with a complete answer.
+func (r *request) endComplete(flight *assign.Attempt, choice assign.Choice, answer *exchange.Answer) {
+	r.withAssigner(func(a *assign.Assigner) { a.End(r.h.Now(), flight, assign.EndedComplete) })
+	if answer.EndsWithConnection() {
+		go r.confirmServed(choice)
+		return
+	}
+	r.recordServed(choice)
+}
+
+// endAttempt records and logs the end of an attempt without a complete answer.
 func (r *request) endAttempt(flight *assign.Attempt, choice assign.Choice, ending assign.Ending, err error) {
 	r.h.mu.Lock()
 	r.h.assigner.End(r.h.Now(), flight, ending)
 	r.h.mu.Unlock()
-	if ending == assign.EndedComplete {
-		r.recordServed(choice)
-		return
-	}
 	if ending == assign.EndedUnreachable {
 		r.h.Pool.CloseIdle(choice.Endpoint)
 	}
@@ -239,7 +245,7 @@
 		r.fallback = result
 		return attemptResult{err: err}
 	}
-	r.endAttempt(flight, choice, assign.EndedComplete, nil)
+	r.endComplete(flight, choice, answer)
 	if impliesNotRun(answer.Status) {
 		return attemptResult{err: fault.BrokenAnswer.New("%s answered with status %d", choice.Endpoint, answer.Status)}
 	}
@@ -321,7 +327,7 @@
 			r.lastEventID = string(id)
 		}
 	}
-	r.endAttempt(flight, choice, assign.EndedComplete, nil)
+	r.endComplete(flight, choice, answer)
 	r.log("answered", nil)
 	r.measure(unit.OutcomeDone, "")
 	return attemptResult{done: true}
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -147,6 +147,18 @@
 	}
 }
 
+// confirmServed records an answer that ended with its connection: as a complete one if the endpoint is still up, as a broken one if it is
+// down.
+func (r *request) confirmServed(choice assign.Choice) {
+	err := r.h.Pool.Check(context.Background(), choice.Endpoint, choice.Address, r.h.Connections(r.service))
+	switch {
+	case err == nil:
+		r.recordServed(choice)
+	case errorx.IsOfType(err, exchange.NotListening):
+		r.recordBroken(choice, assign.EndedBroken)
+	}
+}
+
 // recordBroken records that an endpoint gave no complete answer and probes whether it has crashed. If the request's content may
 // have crashed an endpoint before, recordBroken waits for the results of its probes.
 func (r *request) recordBroken(choice assign.Choice, ending assign.Ending) {
--- a/internal/callers/forward/crash_test.go
+++ b/internal/callers/forward/crash_test.go
@@ -1,12 +1,19 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
@@ -57,6 +64,41 @@
 	assert.Equal(t, crashed(), 2)
 }
 
+// Guards against parts of prompts that go on to crash endpoints because an answer that ended with its connection, after a first event,
+// passes for a complete one.
+func TestAnAnswerThatEndsWithItsEndpointClearsNoPart(t *testing.T) {
+	var endpoints []*fakeEndpoint
+	for range crashcause.CrashesNeeded + 1 {
+		var s *fakeEndpoint
+		s = newFakeEndpoint(t, func() string {
+			_ = s.listener.Close()
+			return closingHead + "id: 1\ndata: a\n\n"
+		})
+		endpoints = append(endpoints, s)
+	}
+	h := newTestHandler(t, endpoints...)
+	clock, passed := h.Now, atomic.Int64{}
+	h.Now = func() unit.Moment { return clock().Add(time.Duration(passed.Load())) }
+	for i := range crashcause.CrashesNeeded {
+		prompt := &Prompt{Model: "m", Parts: []assign.Part{{ID: "deadly"}, {ID: fmt.Sprint(i)}}}
+		_, _, _, err := servePrompt(t, h, fmt.Sprint("/stream/", i), "", prompt)
+		assert.NilError(t, err)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			crashes := 0
+			h.WithCrashCauses(func(c *crashcause.Register) { crashes = len(c.Export(h.Now())) })
+			if crashes == i+1 {
+				return poll.Success()
+			}
+			return poll.Continue("%d crashes are known", crashes)
+		}, poll.WithTimeout(5*time.Second), poll.WithDelay(time.Millisecond))
+		passed.Add(int64(time.Second))
+	}
+	status, header, _, err := servePrompt(t, h, "/stream/next", "", &Prompt{Model: "m", Parts: []assign.Part{{ID: "deadly"}, {ID: "next"}}})
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, header.Get("Retry-After") != "")
+}
+
 // Guards against a quarantine of requests that caused no crash: only their connections were lost, or another endpoint has answered
 // them since.
 func TestOnlyCrashesAreHeldAgainstARequest(t *testing.T) {
--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -63,7 +63,7 @@
 	}
 	var best *suspect
 	for _, s := range suspects {
-		if countSeparate(s.times) >= crashesNeeded && (best == nil || compareSuspects(s, best) < 0) {
+		if countSeparate(s.times) >= CrashesNeeded && (best == nil || compareSuspects(s, best) < 0) {
 			best = s
 		}
 	}
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// crashesNeeded is the number of crashes without a complete answer since the first of them after which a part is blocked.
-	crashesNeeded = 3
+	// CrashesNeeded is the number of crashes without a complete answer since the first of them after which a part is blocked.
+	CrashesNeeded = 3
 	// suspectCrashes is the number of such crashes from which a request with the part isn't sent again after a failed attempt.
 	suspectCrashes = 2
 	// simultaneity is the time within which crashes count once: engines that go down together have another common cause than a
