Log the versions of endpoints' software and the streams that callers take up

Cause: no log line named the version of an endpoint's software, nor the event and the request after which a caller takes a stream up, so that streams joined from two versions could not be traced. Change: the registry holds the software version of each lifetime; endpoint-reported, endpoint-known and, for streams, request-ended name it, and request-ended names what the caller resumes.

--- a/internal/base/unit/identifier.go
+++ b/internal/base/unit/identifier.go
@@ -14,6 +14,8 @@
 	ModelName string
 	// WeightsVersion names one version of a model's weights.
 	WeightsVersion string
+	// SoftwareVersion names the version of an endpoint's software. Versions have no order.
+	SoftwareVersion string
 	// HostName names an entry or control host.
 	HostName string
 	// DataCentre names a data centre.
--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -31,6 +31,8 @@
 	Prompt *Prompt
 	// ResumeAfter is the id of the last event of the stream that the caller has received, empty for a new stream.
 	ResumeAfter string
+	// Resumes is the id of the request that brought the stream's first event, empty if the caller doesn't name exactly one.
+	Resumes unit.RequestID
 }
 
 // Prompt is what a caller states about its request for a language model.
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -49,6 +49,8 @@
 	// longestTimeoutDecay determines how fast the longest timeout of a route decays: by one part in longestTimeoutDecay with each
 	// caller that states a shorter one.
 	longestTimeoutDecay = 10_000
+	// maxLoggedBytes limits a value that a caller sent in a log line.
+	maxLoggedBytes = 64
 	// maxSends limits how often one request is sent, including the attempts that endpoints refuse.
 	maxSends = 4
 )
@@ -455,6 +457,12 @@
 	if len(r.tried) > 0 {
 		attributes = append(attributes, "endpoints", r.tried)
 	}
+	if r.route != nil && r.route.Kind == table.KindStream && r.lastChoice != nil {
+		attributes = append(attributes, "software", string(r.lastChoice.Software))
+	}
+	if r.call.ResumeAfter != "" {
+		attributes = append(attributes, "resume-after", clip(r.call.ResumeAfter), "resumes", clip(string(r.call.Resumes)))
+	}
 	if r.headSent {
 		attributes = append(attributes, "first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds())
 	}
@@ -475,6 +483,11 @@
 	r.h.Log.Info("request-ended", attributes...)
 }
 
+// clip limits a value that a caller sent to its first maxLoggedBytes bytes.
+func clip(value string) string {
+	return value[:min(len(value), maxLoggedBytes)]
+}
+
 // measure adds the request to the counters and latency histograms.
 func (r *request) measure(outcome unit.Outcome, code string) {
 	sample := meter.Sample{
--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -37,6 +37,7 @@
 	Weights    map[unit.ModelName]decisions.WeightsNumber `cbor:"8,keyasint,omitempty"`
 	Born       int64                                      `cbor:"9,keyasint"`  // start of the lifetime in Unix milliseconds, by the endpoint's clock
 	Sequence   uint64                                     `cbor:"10,keyasint"` // increases with each report of a lifetime
+	Software   unit.SoftwareVersion                       `cbor:"11,keyasint,omitempty"`
 }
 
 // Record is an endpoint as the sending registry knows it.
@@ -254,7 +255,7 @@
 
 func sameContent(a, b Endpoint) bool {
 	return a.Draining == b.Draining && a.Left == b.Left && a.Service == b.Service && a.Address == b.Address &&
-		a.DataCentre == b.DataCentre && a.Slots == b.Slots && (a.ColdFor > 0) == (b.ColdFor > 0) && maps.Equal(a.Weights, b.Weights)
+		a.DataCentre == b.DataCentre && a.Slots == b.Slots && a.Software == b.Software && (a.ColdFor > 0) == (b.ColdFor > 0) && maps.Equal(a.Weights, b.Weights)
 }
 
 func (r *Registry) entryAt(address string) (*entry, bool) {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -308,7 +308,7 @@
 	reported := g.registry.Merge(now, answer.Update, g.numbering)
 	g.hubEpoch, g.registryNumber, g.holdingNumber = answer.Epoch, answer.Update.Number, answer.Holding.Number
 	for _, record := range answer.Update.Records {
-		g.Log.Info("endpoint-known", "endpoint", string(record.ID), "service", string(record.Service), "draining", record.Draining,
+		g.Log.Info("endpoint-known", "endpoint", string(record.ID), "service", string(record.Service), "software", string(record.Software), "draining", record.Draining,
 			"left", record.Left, "weights", record.Weights, "report-age-ms", record.Age.Milliseconds())
 		if record.Left {
 			g.pool.CloseIdle(record.ID)
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -368,7 +368,7 @@
 	h.mu.Unlock()
 	if !existed || known.Born != after.Born || known.Draining != after.Draining {
 		h.Log.Info("endpoint-reported", "endpoint", string(report.ID), "service", string(report.Service), "address", report.Address,
-			"draining", report.Draining, "born", report.Born, "sequence", report.Sequence, "news", changed)
+			"software", string(report.Software), "draining", report.Draining, "born", report.Born, "sequence", report.Sequence, "news", changed)
 	}
 	if report.Draining {
 		h.confirmDeparture(ctx, report.ID)
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -242,7 +242,7 @@
 			c.headroom = est.headroom[i]
 		}
 		c.choice = Choice{
-			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
+			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Software: r.Software, Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
 			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit,
 		}
 		considered = append(considered, c)
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -155,12 +155,13 @@
 	Born       int64 // start of the endpoint's lifetime, see registry.Report
 	Address    string
 	Weights    decisions.WeightsNumber // version for the request's model, 0 if unknown
-	Expected   time.Duration           // time to the first byte of the answer
-	QueueTime  time.Duration           // part of Expected that other requests cause, whatever the size of this request
-	Missing    unit.Tokens             // prompt tokens that the endpoint is expected to prefill
-	Value      float64                 // expected value of the request, see Assigner.value
-	Recomputed unit.Tokens             // shared tokens among Missing, which are computed once more
-	Fetched    unit.Tokens             // shared tokens that are expected to be fetched
+	Software   unit.SoftwareVersion
+	Expected   time.Duration // time to the first byte of the answer
+	QueueTime  time.Duration // part of Expected that other requests cause, whatever the size of this request
+	Missing    unit.Tokens   // prompt tokens that the endpoint is expected to prefill
+	Value      float64       // expected value of the request, see Assigner.value
+	Recomputed unit.Tokens   // shared tokens among Missing, which are computed once more
+	Fetched    unit.Tokens   // shared tokens that are expected to be fetched
 	// Source is the address of the replica or cache store from which the endpoint fetches parts that it lacks, empty for none.
 	Source string
 	// Save is the address of the cache store to which the endpoint sends the parts that it prefills, empty for none.
