Resume a stream within one answer at its own software version only

What callers saw: streams in one answer whose first part one software version wrote and the rest another. Cause: when an endpoint broke off a stream, the host resumed it at any other endpoint of the service. Endpoints don't check this. Change: once an event has been forwarded, only endpoints of the version that wrote it are chosen. Without one the answer breaks off, and the caller may take the stream up.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -304,6 +304,7 @@
 			r.copyHeader(answer.Header)
 			r.w.WriteHeader(answer.Status)
 			r.headSent = true
+			r.work.Software = &choice.Software
 			r.firstByte = r.h.Now()
 			r.withAssigner(func(a *assign.Assigner) { a.Began(r.firstByte, flight) })
 			r.unwatch(flight)
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -220,7 +220,7 @@
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	considered := make([]candidate, 0, len(candidates))
 	for i, r := range candidates {
-		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) {
+		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || w.Software != nil && r.Software != *w.Software {
 			continue
 		}
 		stall := r.stallTime(now)
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -37,6 +37,9 @@
 	Random            float64       // random number in [0, 1) that chooses between endpoints of a plain service
 	PreviouslyRefused bool          // the caller was refused before and has come back
 	WaitsForPermit    bool          // an earlier choice found all endpoints at the limits that they named
+	// Software is the only software version of endpoints that may get the request, nil for any. It is set for a stream that an
+	// endpoint of that version has begun.
+	Software *unit.SoftwareVersion
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
 
 	prefixes []Prefix                                       // by part, computed by prepare
