Take a stream up at the software version that began it

What callers saw: streams that they took up after a reset or the loss of a host ran to the end with status 200, with the first part from one software version and the rest from another. Cause: only the host that began a stream could know its version, and it didn't keep it; any endpoint of the service got the rest. Change: entry hosts record the origin of each resumable stream at control hosts, in two copies, while the endpoint reads the prompt. A host that takes a stream up asks the control hosts. Without a record the origin counts as known only where nothing but one version can have served within the last minutes; else the request is refused at once. Steady state with one version needs no records. Tests of the register, the control host and the handler cover each answer to "where did it begin".

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -41,6 +41,9 @@
 	Overloaded = namespace.NewType("overloaded", NotRun, Retryable)
 	// Quarantined is a request whose content has crashed engines.
 	Quarantined = namespace.NewType("quarantined", NotRun)
+	// Unresumable is a stream that can't go on after its last event, because no endpoint of the software version that began it serves it
+	// any more or because that version isn't known. A new stream may be begun.
+	Unresumable = namespace.NewType("unresumable", NotRun)
 	// NoEndpoint is a request for which no usable endpoint is known.
 	NoEndpoint = namespace.NewType("no-endpoint", NotRun, Retryable)
 	// StaleConfiguration is a host that can't confirm that its configuration is up to date.
@@ -84,7 +87,7 @@
 func init() {
 	for _, registered := range []*errorx.Type{
 		BadInput, BadSetting, TooLarge, Unauthenticated, Forbidden, NotFound, Conflict, OverLimit, Overloaded, Quarantined,
-		NoEndpoint, StaleConfiguration, Stopping, NotLeader, NoQuorum, Unreachable, BrokenAnswer, UnknownOutcome, Corrupt, DiskFailed, DiskFull,
+		Unresumable, NoEndpoint, StaleConfiguration, Stopping, NotLeader, NoQuorum, Unreachable, BrokenAnswer, UnknownOutcome, Corrupt, DiskFailed, DiskFull,
 		BadPeer, Internal, ClaimFailed, AnswerLost, CallerLeft,
 	} {
 		byName[typeName(registered)] = registered
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -301,6 +301,10 @@
 			return attemptResult{err: err}
 		}
 		if !r.headSent {
+			if err := r.awaitCorrection(ctx); err != nil {
+				r.endAttempt(flight, choice, assign.EndedByCaller, err)
+				return attemptResult{err: err}
+			}
 			r.copyHeader(answer.Header)
 			r.w.WriteHeader(answer.Status)
 			r.headSent = true
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -205,6 +205,7 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.assigner.MarkCrashed(now, lifetime)
 	contents, parts := h.crashes.RecordCrash(now, lifetime)
 	if len(contents) == 0 {
 		return
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -26,6 +26,7 @@
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
+	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 )
 
 const (
@@ -67,6 +68,8 @@
 	Connections func(service *table.Service) int
 	Allowance   retrybudget.Settings
 	Assign      assign.Settings
+	// FindStream asks the control hosts where a stream began. It returns false if they don't know.
+	FindStream func(ctx context.Context, q streamorigin.Query) (streamorigin.Origin, bool)
 	// MaxAnswerMemory limits the memory for buffered answers of all requests together, in bytes. 0 means 24 MiB.
 	MaxAnswerMemory int64
 }
@@ -83,6 +86,8 @@
 	crashCauses    *crashcause.Register
 	blockedParts   map[crashcause.PartID]struct{} // as logged last
 	cancellable    map[*assign.Attempt]cancellableAttempt
+	streams        *streamorigin.Register // of this host's requests
+	storedStreams  storedStreams
 	longestTimeout map[string]time.Duration // by route name; see probablyRefusedBefore
 	permits        permitWait
 	running        int
@@ -100,6 +105,7 @@
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: retrybudget.New(d.Allowance),
 		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(),
+		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 	}
 }
@@ -185,6 +191,9 @@
 	atLimit         bool        // the last choice found that all endpoints are at the limits that they named
 	permitDeadline  unit.Moment // end of the wait for a permit, 0 before it
 	headSent        bool
+	takesUp         bool                 // goes on with a stream that an earlier request began
+	origin          *streamorigin.Origin // as recorded last, nil if the request's stream isn't recorded
+	correction      uint64               // number of the record that corrected an earlier one, 0 if there is none
 	firstByte       unit.Moment
 	// fallback is an endpoint's error answer that is forwarded if no later attempt does better.
 	fallback *wholeAnswer
@@ -215,6 +224,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(h.Now()))
 	defer cancel()
+	if err := r.takeUp(ctx); err != nil {
+		r.refuse(err)
+		return
+	}
 	r.sendUntilAnswered(ctx)
 }
 
@@ -312,6 +325,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r.work.MaxLatency, r.work.Random, r.work.PreviouslyRefused = r.firstByteTimeout(now), rand.Float64(), r.probablyRefusedBefore()
+	r.work.Resumable = r.resumable()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
 	r.atLimit = !ok && choice.Limited > 0
 	if !ok {
@@ -322,7 +336,7 @@
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s, but the caller waits only %s", choice.Expected, r.work.MaxLatency).
 			WithProperty(fault.RetryAfter, choice.Expected-r.work.MaxLatency)
 	}
-	if r.sends == 0 && !choice.Admits(&r.work) {
+	if r.sends == 0 && !r.takesUp && !choice.Admits(&r.work) {
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s of queueing, but the objective is %s", choice.QueueTime, r.work.Objective).
 			WithProperty(fault.RetryAfter, choice.ExcessWait(&r.work))
 	}
@@ -332,6 +346,7 @@
 		return choice, nil, fault.Overloaded.New("service %s has used up its allowance for retries", r.service.Name)
 	}
 	r.sends++
+	r.recordOrigin(now, choice)
 	return choice, h.assigner.Begin(now, &r.work, choice), nil
 }
 
@@ -412,7 +427,7 @@
 	if status == http.StatusServiceUnavailable {
 		room, _ := fault.RetryAfterOf(err) // 0 if unknown
 		r.retryAfter = room
-		if !errorx.IsOfType(err, fault.Quarantined) {
+		if !errorx.IsOfType(err, fault.Quarantined) && !errorx.IsOfType(err, fault.Unresumable) {
 			r.retryAfter = retryafter.Refusal{UntilCapacity: room, Remaining: r.timeLeft(), Draw: rand.Float64()}.After()
 		}
 		r.w.Header().Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
@@ -462,6 +477,9 @@
 	}
 	if r.call.ResumeAfter != "" {
 		attributes = append(attributes, "resume-after", clip(r.call.ResumeAfter), "resumes", clip(string(r.call.Resumes)))
+		if r.takesUp {
+			attributes = append(attributes, "began-at", string(*r.work.Software))
+		}
 	}
 	if r.headSent {
 		attributes = append(attributes, "first-byte-ms", r.firstByte.Sub(r.call.Arrived).Milliseconds())
@@ -509,10 +527,15 @@
 	r.h.Meter.Observe(sample)
 }
 
-// priority returns the priority of the request, 0 for the most urgent. The customer's priority, if set, overrides the route's.
+// priority returns the priority of the request, 0 for the most urgent. The customer's priority, if set, overrides the route's. A request
+// that takes a stream up goes before those that begin one, since its caller has waited before.
 func (r *request) priority() int {
+	priority := r.route.Priority
 	if r.customer != nil && r.customer.Priority != nil {
-		return *r.customer.Priority
+		priority = *r.customer.Priority
+	}
+	if r.takesUp {
+		priority = max(priority-1, 0)
 	}
-	return r.route.Priority
+	return priority
 }
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -30,6 +30,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
+	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 )
 
 // testWire is a minimal endpoint protocol.
@@ -176,6 +177,9 @@
 	h := New(Dependencies{
 		Now: clock.Now, Log: eventlog.Discard(), Meter: meter.New(metrics.NewSet(), 10), Wire: testWire, Pool: exchange.New(clock.Now), Table: func() *table.Table { return routes },
 		Connections: func(*table.Service) int { return 10 }, Allowance: limits,
+		FindStream: func(context.Context, streamorigin.Query) (streamorigin.Origin, bool) {
+			return streamorigin.Origin{}, false
+		},
 		Assign: assign.Settings{ReportSilence: time.Hour},
 	})
 	var known []registry.Endpoint
--- a/internal/callers/forward/permits.go
+++ b/internal/callers/forward/permits.go
@@ -38,13 +38,20 @@
 
 // noEndpoint returns why no endpoint may get the request, with the time until one may if that is known. Handler.mu must be held.
 func (r *request) noEndpoint(now unit.Moment, choice assign.Choice) error {
+	if s := r.work.Software; s != nil && !r.h.assigner.Serves(r.service.Name, *s) {
+		return r.unresumable("software version %s, which began the stream, has left service %s", *s, r.service.Name)
+	}
 	if until, limited := r.h.assigner.UntilPermit(r.service.Name); limited && choice.Limited > 0 {
 		return fault.Overloaded.New("%d endpoints of service %s are at the limits that they named", choice.Limited, r.service.Name).WithProperty(fault.RetryAfter, until)
 	}
 	if resumes, paused := r.h.assigner.PauseRemaining(now, r.service.Name); paused {
 		return fault.Overloaded.New("all endpoints of service %s asked for a pause", r.service.Name).WithProperty(fault.RetryAfter, resumes)
 	}
-	return fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+	err := fault.NoEndpoint.New("service %s has no endpoint that may take the request", r.service.Name)
+	if r.work.Software != nil {
+		err = err.WithProperty(fault.RetryAfter, restartTime)
+	}
+	return err
 }
 
 // waitForPermit waits until a permit may have arrived, if the last choice failed for lack of one and it is likely that one arrives soon.
--- a/internal/callers/forward/software_test.go
+++ b/internal/callers/forward/software_test.go
@@ -1,10 +1,15 @@
 package forward
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -12,6 +17,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
+	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 )
 
 // newVersionedHandler returns a handler with endpoints of the given software versions, and the endpoints.
@@ -63,3 +69,111 @@
 		})
 	}
 }
+
+// takeUp sends a request that goes on with a stream after its first event.
+func takeUp(t *testing.T, h *Handler, resumes unit.RequestID) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.Serve(r.Context(), w, &Call{
+			ID: "r2", Arrived: h.Now(), Method: r.Method, Host: "h", Path: r.URL.Path, Target: r.RequestURI, Header: http.Header{},
+			Timeout: 2 * time.Second, ResumeAfter: "1", Resumes: resumes, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
+		})
+	}))
+	defer server.Close()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/resumable/x", nil)
+	assert.NilError(t, err)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(data), err
+}
+
+// Guards against a stream that goes on at another software version, or at any version because the right one isn't known, and against
+// callers that wait in vain or come back in vain.
+func TestAStreamIsTakenUpAtTheVersionThatBeganIt(t *testing.T) {
+	const ownRequest, unknown = "r1", "r9"
+	v2 := streamorigin.Origin{Service: "s", Software: "v2"}
+	cases := []struct {
+		name     string
+		resumes  unit.RequestID
+		recorded *streamorigin.Origin // by the control hosts
+		leaving  bool                 // the endpoints of v2 are leaving
+		crashed  bool                 // the endpoints of v2 have crashed
+		status   int
+		again    bool // the caller should come back soon
+	}{
+		{name: "begun through this host", resumes: ownRequest, status: http.StatusOK},
+		{name: "begun through another host", resumes: unknown, recorded: &v2, status: http.StatusOK},
+		{name: "not known", resumes: unknown, status: http.StatusServiceUnavailable},
+		{name: "no request named", status: http.StatusServiceUnavailable},
+		{name: "no request named, a single version for long", recorded: &v2, status: http.StatusOK},
+		{name: "another service", resumes: unknown, recorded: &streamorigin.Origin{Service: "t", Software: "v2"}, status: http.StatusServiceUnavailable},
+		{name: "the version has left", resumes: unknown, recorded: &streamorigin.Origin{Service: "s", Software: "v0"}, status: http.StatusServiceUnavailable},
+		{name: "the version is leaving", resumes: unknown, recorded: &v2, leaving: true, status: http.StatusServiceUnavailable},
+		{name: "the endpoints of the version have crashed", resumes: unknown, recorded: &v2, crashed: true, status: http.StatusServiceUnavailable, again: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			h, _ := newVersionedHandler(t, func(version unit.SoftwareVersion) string {
+				event := fmt.Sprintf("id: 2\ndata: %s\n\n", version)
+				return streamHead + fmt.Sprintf("%x\r\n%s\r\n", len(event), event) + lastChunk
+			}, "v1", "v1", "v1", "v2", "v2")
+			h.streams.Record(0, streamorigin.NewID("", ownRequest), v2)
+			h.FindStream = func(context.Context, streamorigin.Query) (streamorigin.Origin, bool) {
+				if c.recorded == nil {
+					return streamorigin.Origin{}, false
+				}
+				return *c.recorded, true
+			}
+			for _, id := range []unit.EndpointID{"e3", "e4"} {
+				lifetime := registry.Lifetime{Endpoint: id, Born: 1}
+				h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
+					if c.leaving {
+						a.MarkLeaving(lifetime)
+					}
+				})
+				if c.crashed {
+					h.RecordCrash(lifetime, "test")
+				}
+			}
+			status, header, body, err := takeUp(t, h, c.resumes)
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.status)
+			if status == http.StatusOK {
+				assert.Equal(t, body, "id: 2\ndata: v2\n\n")
+				return
+			}
+			after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+			assert.NilError(t, err)
+			assert.Equal(t, after < 1.5, c.again, "%f s, the caller waits 2 s", after)
+		})
+	}
+}
+
+// Guards against a record that names the version of the first attempt although another version began the stream after it: its first event
+// must not reach the caller before the control host has the corrected record.
+func TestTheFirstEventWaitsForACorrectedRecord(t *testing.T) {
+	var begun atomic.Int64
+	h, _ := newVersionedHandler(t, func(unit.SoftwareVersion) string {
+		if begun.Add(1) == 1 {
+			return refused
+		}
+		return streamHead + firstEvent + lastChunk
+	}, "v1", "v2")
+	status, _, _, err := serveOnce(t, h, "/resumable/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusBadGateway, "no control host gets the record")
+	origin, ok := h.streams.Find(streamorigin.NewID("", "r1"))
+	assert.Assert(t, ok)
+	assert.Equal(t, h.LastStream(), uint64(2))
+
+	begun.Store(0)
+	h.StreamsStored(100)
+	status, _, body, err := serveOnce(t, h, "/resumable/x", "")
+	assert.NilError(t, err)
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "id: 1\ndata: a\n\n")
+	corrected, _ := h.streams.Find(streamorigin.NewID("", "r1"))
+	assert.Equal(t, corrected.Service, origin.Service)
+}
--- a/internal/endpoints/registry/registry.go
+++ b/internal/endpoints/registry/registry.go
@@ -109,8 +109,9 @@
 	byAddress     map[string]unit.EndpointID // the newest lifetime at each address
 	byIndex       map[Index]unit.EndpointID
 	limited       map[unit.EndpointID]struct{} // endpoints that may have a limit in force
-	order         *list.List                   // of *entry, in ascending order of changeNumber
-	lastIndex     Index                        // the highest index assigned so far
+	software      softwareHistory
+	order         *list.List // of *entry, in ascending order of changeNumber
+	lastIndex     Index      // the highest index assigned so far
 	changeNumber  uint64
 	contentNumber uint64 // change number of the last change of any entry other than a heartbeat
 }
@@ -119,7 +120,7 @@
 func New() *Registry {
 	return &Registry{
 		entries: map[unit.EndpointID]*entry{}, byAddress: map[string]unit.EndpointID{}, order: list.New(),
-		byIndex: map[Index]unit.EndpointID{}, limited: map[unit.EndpointID]struct{}{},
+		byIndex: map[Index]unit.EndpointID{}, limited: map[unit.EndpointID]struct{}{}, software: softwareHistory{},
 	}
 }
 
@@ -229,6 +230,7 @@
 	if record.Address != "" {
 		r.byAddress[record.Address] = record.ID
 	}
+	r.software.record(e.Service, e.Software, e.HeardAt)
 	r.recordContentChange(e)
 	return true
 }
@@ -278,6 +280,7 @@
 		return
 	}
 	e.HeardAt = at
+	r.software.record(e.Service, e.Software, at)
 	r.changeNumber++
 	e.changeNumber = r.changeNumber
 	r.order.MoveToBack(e.orderElement)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -91,9 +91,12 @@
 	// crashesSent is the number of the last of this host's crash notices that the control host has, and crashesRead that of the last
 	// of the control host's notices that this host has read.
 	crashesSent, crashesRead uint64
-	causesSent, causesRead   uint64      // the same for notices of crashed and answered parts of prompts
-	connected                bool        // the last sync with a control host was successful
-	endpointsSeen            atomic.Bool // at least one endpoint has been usable since the start
+	causesSent, causesRead   uint64 // the same for notices of crashed and answered parts of prompts
+	// streamsSent is the number of the last record of a stream that the control host has; needsStreams says whether it needs them.
+	streamsSent   uint64
+	needsStreams  bool
+	connected     bool        // the last sync with a control host was successful
+	endpointsSeen atomic.Bool // at least one endpoint has been usable since the start
 
 	sentLoads []sentLoad   // the last load reports, used only by sync
 	applied   appliedState // used only by sync
@@ -118,12 +121,12 @@
 func New(d Dependencies) *Gateway {
 	g := &Gateway{
 		Dependencies: d, registry: registry.New(), numbering: &registry.Numbering{}, pool: exchange.New(d.Timer.Now),
-		lostAt: map[unit.HostName]unit.Moment{},
+		lostAt: map[unit.HostName]unit.Moment{}, needsStreams: true,
 	}
 	g.nextHost = int(startIndex(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.EndpointProtocol, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
-		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory,
+		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream,
 	})
 	return g
 }
@@ -176,7 +179,7 @@
 // sync sends a control host what is new at this host, such as its load, and applies the changes in the answer.
 func (g *Gateway) sync(ctx context.Context) {
 	sentAt := g.Timer.Now()
-	name, request := g.prepareRequest()
+	name, request, streams := g.prepareRequest()
 	payload, err := codec.Marshal(request)
 	if err != nil {
 		g.Log.Error("message-not-sent", "to", string(name), "cause", err.Error())
@@ -193,7 +196,8 @@
 		g.markLost(name, err.Error())
 		return
 	}
-	g.applyCrashes(name, &request, &answer) // first, because the host may become ready to serve with the rest of the answer
+	g.streamsReceived(&request, &answer, streams)
+	g.applyCrashes(name, &request, &answer) // before the rest, because the host may become ready to serve with the rest of the answer
 	g.applyAnswer(name, &answer, sentAt)
 	g.resolveSuspectLifetimes()
 	if answer.Age > majorityTimeout {
@@ -201,10 +205,9 @@
 	}
 }
 
-// prepareRequest returns the control host to ask and the request to send.
-func (g *Gateway) prepareRequest() (unit.HostName, hub.SyncRequest) {
+// prepareRequest returns the control host to ask, the request to send, and the number of the last record of a stream in it.
+func (g *Gateway) prepareRequest() (name unit.HostName, request hub.SyncRequest, streams uint64) {
 	now := g.Timer.Now()
-	var request hub.SyncRequest
 	var own map[unit.EndpointID]assign.Load
 	var wanted map[unit.EndpointID]int
 	resendLimits := now.Sub(g.limitsSentAt) >= limitsInterval
@@ -223,6 +226,10 @@
 	g.handler.WithQuarantines(func(q *quarantine.Register) { request.Crashes = q.Since(now, g.crashesSent) })
 	g.handler.WithCrashCauses(func(c *crashcause.Register) { request.Causes = c.Since(now, g.causesSent) })
 	request.CrashesRead, request.CausesRead = g.crashesRead, g.causesRead
+	if g.needsStreams {
+		update := g.handler.StreamsSince(g.streamsSent)
+		request.Streams, streams = update.Batches, update.Number
+	}
 	g.currentHost = g.chooseControlHost(now)
 	load := tally.EndpointLoads{}
 	for id, l := range own {
@@ -238,7 +245,7 @@
 	}
 	g.sentLoads = append(g.sentLoads[max(0, len(g.sentLoads)+1-keptSentLoads):], sentLoad{number, own})
 	request.Epoch, request.RegistryNumber, request.HoldingNumber, request.Load, request.LoadNumber = g.hubEpoch, g.registryNumber, g.holdingNumber, load.Pack(), number
-	return g.currentHost, request
+	return g.currentHost, request, streams
 }
 
 // chooseControlHost returns the control host to ask next. It prefers the hosts of this host's data centre, because traffic to another
@@ -459,6 +466,7 @@
 func (g *Gateway) prune(context.Context) {
 	g.handler.WithQuarantines(func(q *quarantine.Register) { q.Prune(g.Timer.Now()) })
 	g.handler.WithCrashCauses(func(c *crashcause.Register) { c.Prune(g.Timer.Now()) })
+	g.handler.PruneStreams()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.registry.Prune(g.Timer.Now())
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -13,6 +13,7 @@
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
+	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 	"github.com/citronglade/citronglade/internal/routing/tally"
 )
 
@@ -35,6 +36,8 @@
 		defer h.mu.Unlock()
 		h.registry.Merge(h.Timer.Now(), update, &registry.Numbering{})
 		return nil, nil
+	case kind.StreamOrigin:
+		return h.answerStreamQuery(payload)
 	case kind.HubFetch:
 		h.mu.Lock()
 		defer h.mu.Unlock()
@@ -70,6 +73,22 @@
 	}
 }
 
+// answerStreamQuery answers a streamorigin.Query.
+func (h *Hub) answerStreamQuery(payload []byte) ([]byte, error) {
+	var query streamorigin.Query
+	if err := codec.Unmarshal(payload, &query); err != nil {
+		return nil, err
+	}
+	m, err := h.group.member()
+	if err != nil {
+		return nil, err
+	}
+	now := h.Timer.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return codec.Marshal(h.findStream(now, query, now.Sub(m.Status().LastContactAt) < hostSilenceTimeout))
+}
+
 // sync answers the regular SyncRequest of an entry host.
 func (h *Hub) sync(from unit.HostName, payload []byte) ([]byte, error) {
 	var request SyncRequest
@@ -109,6 +128,7 @@
 	h.addShared(now, request.Shared)
 	h.mergeCrashes(now, from, request.Crashes)
 	h.crashCauses.Merge(now, request.Causes.Notices)
+	h.streams.own.Merge(now, request.Streams)
 	for _, l := range request.Leaving {
 		h.markLeaving(l, string(from))
 	}
@@ -117,7 +137,7 @@
 	}
 	answer := SyncAnswer{
 		Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.ChangesSince(holdingNumber),
-		Crashes: h.crashes.Since(now, crashes), Causes: h.crashCauses.Since(now, causes),
+		Crashes: h.crashes.Since(now, crashes), Causes: h.crashCauses.Since(now, causes), NeedsStreams: h.needsStreamRecords(now),
 	}
 	if h.loads.computedAt > entry.loadsSentAt && now.Sub(entry.loadsSentAt) >= loadsPause(len(h.loads.packed)) {
 		answer.Loads, answer.LoadsAge, answer.IncludedLoadNumber, answer.HasLoads = h.loads.packed, now.Sub(h.loads.computedAt), entry.includedNumber, true
@@ -241,6 +261,7 @@
 	if state.CrashesAfter <= known.readCrashes && state.Crashes.Number >= known.readCrashes {
 		updated.readCrashes = state.Crashes.Number
 	}
+	h.streams.copies.Merge(now, state.Streams)
 	h.crashCauses.Merge(now, state.Causes.Notices)
 	if state.CausesAfter <= known.readCauses && state.Causes.Number >= known.readCauses {
 		updated.readCauses = state.Causes.Number
@@ -253,7 +274,7 @@
 	}
 	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits, state.Causes = nil, nil, crashcause.Update{}
+	state.WantedPermits, state.Permits, state.Causes, state.Streams = nil, nil, crashcause.Update{}, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -116,6 +116,7 @@
 	newlyShared        []sharing.PartID // shared parts not yet sent to the other control hosts
 	crashes            *quarantine.Register
 	crashCauses        *crashcause.Register // only collects and forwards evidence
+	streams            streamRecords
 	loads              loadSum
 	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
 	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
@@ -167,6 +168,7 @@
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
 		shared: sharing.New(), crashes: quarantine.New(), crashCauses: crashcause.New(0), permits: map[unit.EndpointID]*endpointPermits{},
 	}
+	h.streams = newStreamRecords(d.Timer.Now())
 	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
 	h.stateFile = savedstate.New(d.DataFolder)
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -37,6 +37,7 @@
 	if h.isLeader {
 		state.Updating, state.Upcoming = h.registry.Indexes(h.planner.Updating()), h.registry.Indexes(h.planner.Upcoming())
 	}
+	h.choosePartner(now)
 	messages := map[unit.HostName]State{}
 	for _, name := range control {
 		if name == h.Name {
@@ -51,7 +52,7 @@
 		state.Crashes, state.Causes = h.crashes.Since(now, crashesRead), h.crashCauses.Since(now, causesRead)
 		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter, state.CausesAfter = registryRead, holdingRead, crashesRead, causesRead
 		state.ReadEpoch, state.ReadRegistry, state.ReadHolding, state.ReadCrashes, state.ReadCauses = peer.Epoch, peer.readRegistry, peer.readHolding, peer.readCrashes, peer.readCauses
-		state.Permits = h.countPermits(now, granted[name])
+		state.Permits, state.Streams = h.countPermits(now, granted[name]), h.streamCopies(name)
 		messages[name] = state
 	}
 	h.mu.Unlock()
@@ -217,6 +218,8 @@
 	h.shared.Prune(now)
 	h.crashes.Prune(now)
 	h.crashCauses.Prune(now)
+	h.streams.own.Prune(now)
+	h.streams.copies.Prune(now)
 	for name, entry := range h.entries {
 		if now.Sub(entry.heardAt) > pruneInterval {
 			delete(h.entries, name)
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -15,6 +15,7 @@
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
+	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 )
 
 // SyncRequest is the regular request of an entry host to a control host. It holds what is new at the entry host, and up to which
@@ -46,6 +47,8 @@
 	// the number up to which the host has read the hub's notices.
 	Causes     crashcause.Update `cbor:"13,keyasint"`
 	CausesRead uint64            `cbor:"14,keyasint,omitempty"`
+	// Streams are the origins of streams that the hub hasn't received from this host yet.
+	Streams []streamorigin.Batch `cbor:"15,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -82,6 +85,8 @@
 	PermitsAge time.Duration  `cbor:"17,keyasint,omitempty"`
 	// Causes are the notices of crashed and answered parts of prompts that the asking host hasn't read yet.
 	Causes crashcause.Update `cbor:"18,keyasint"`
+	// NeedsStreams is set if the hub must know the origins of the host's streams.
+	NeedsStreams bool `cbor:"19,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -120,6 +125,8 @@
 	Causes      crashcause.Update `cbor:"21,keyasint"`
 	CausesAfter uint64            `cbor:"22,keyasint,omitempty"`
 	ReadCauses  uint64            `cbor:"23,keyasint,omitempty"`
+	// Streams are copies of the origins of streams that the sender's entry hosts have reported.
+	Streams []streamorigin.Batch `cbor:"24,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/network/kind/kind.go
+++ b/internal/network/kind/kind.go
@@ -38,6 +38,9 @@
 	// HubFetch is a call without payload that a control host makes to another one when it starts; the answer is a
 	// registry.Update.
 	HubFetch = "hub-fetch"
+	// StreamOrigin is a call with a streamorigin.Query that an entry host makes to a control host; the answer is a
+	// streamorigin.Answer.
+	StreamOrigin = "stream-origin"
 	// BookCommand is a call with a decisions.Command for the leader of group 0.
 	BookCommand = "book-command"
 	// BookRead is a call for the leader of group 0; the answer is a decisions.AcceptedTable.
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -220,7 +220,7 @@
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	considered := make([]candidate, 0, len(candidates))
 	for i, r := range candidates {
-		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || w.Software != nil && r.Software != *w.Software {
+		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || !r.mayWrite(w) {
 			continue
 		}
 		stall := r.stallTime(now)
@@ -256,6 +256,27 @@
 	return picked.choice, true
 }
 
+// mayWrite reports whether the endpoint may write the answer as far as its software version is concerned. An endpoint that has crashed may
+// be back with another version until it reports.
+func (r *replica) mayWrite(w *Request) bool {
+	if w.Resumable && r.crashedAt > 0 && r.crashedAt >= r.heardAt {
+		return false
+	}
+	return w.Software == nil || r.Software == *w.Software
+}
+
+// MarkCrashed records that the process of a lifetime was found to have ended. It may be back before the endpoint reports a new one.
+func (a *Assigner) MarkCrashed(now unit.Moment, l registry.Lifetime) {
+	if r, ok := a.replicas[l.Endpoint]; ok && r.Born == l.Born {
+		r.crashedAt = now
+	}
+}
+
+// Serves reports whether a service has an endpoint of the given software version that isn't leaving.
+func (a *Assigner) Serves(service table.ServiceName, software unit.SoftwareVersion) bool {
+	return slices.ContainsFunc(a.services[service], func(r *replica) bool { return r.Software == software && !r.Draining && !r.leaving })
+}
+
 // highestValue returns the candidate with the highest value in the best tier.
 func highestValue(_ float64, considered []candidate) (candidate, bool) {
 	var best candidate
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -40,6 +40,8 @@
 	// Software is the only software version of endpoints that may get the request, nil for any. It is set for a stream that an
 	// endpoint of that version has begun.
 	Software *unit.SoftwareVersion
+	// Resumable says that the answer is a stream with which another request or endpoint may go on.
+	Resumable         bool
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
 
 	prefixes []Prefix                                       // by part, computed by prepare
--- /dev/null
+++ b/internal/routing/streamorigin/answer.go
@@ -0,0 +1,62 @@
+package streamorigin
+
+import (
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/planning/table"
+)
+
+// Query asks a control host where a stream began.
+type Query struct {
+	ID      ID                `cbor:"1,keyasint"` // 0 if the caller named no request
+	Service table.ServiceName `cbor:"2,keyasint"` // that gets the requests of the stream's route now
+}
+
+// Answer is a control host's answer to a Query.
+type Answer struct {
+	// Found is set if the host has a record of the stream; Origin is what it says.
+	Found  bool   `cbor:"1,keyasint,omitempty"`
+	Origin Origin `cbor:"2,keyasint"`
+	// Uniform is set if no records were needed within Retention, because each service ran a single software version and no route
+	// changed. Software is the version of the service in the query. Mixed is set if records were needed. Neither is set if the host
+	// hasn't run for that long.
+	Uniform  bool                 `cbor:"3,keyasint,omitempty"`
+	Software unit.SoftwareVersion `cbor:"4,keyasint,omitempty"`
+	Mixed    bool                 `cbor:"5,keyasint,omitempty"`
+}
+
+// Combine returns where the stream of a query began, given the answers of the control hosts. It returns false if none of them knows, or
+// if they contradict each other.
+func (q Query) Combine(answers []Answer) (Origin, bool) {
+	var recorded, uniform []Origin
+	mixed := false
+	for _, a := range answers {
+		if a.Found {
+			recorded = append(recorded, a.Origin)
+		}
+		if a.Uniform {
+			uniform = append(uniform, Origin{Service: q.Service, Software: a.Software})
+		}
+		mixed = mixed || a.Mixed
+	}
+	switch {
+	case len(recorded) > 0:
+		return agreed(recorded)
+	case mixed:
+		return Origin{}, false
+	default:
+		return agreed(uniform)
+	}
+}
+
+// agreed returns the origin that all of the given ones are, or false if they differ or there is none.
+func agreed(origins []Origin) (Origin, bool) {
+	if len(origins) == 0 {
+		return Origin{}, false
+	}
+	for _, o := range origins[1:] {
+		if o != origins[0] {
+			return Origin{}, false
+		}
+	}
+	return origins[0], true
+}
