Report answers to parts of prompts only if they clear a crash

Cause: as long as a crash was remembered, six hours, each host told the others every second of the last answer to each part that stood in it. With a hundred popular parts that alone exceeds what a host may use for control traffic. The causes were computed again for each such notice, also while all engines had gone down in one moment, which no part explains. Change: an answer is recorded only if it clears a crash that still counts against the part.

--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -27,6 +27,13 @@
 	r.outdated = false
 	clear(r.causes)
 	clear(r.explained)
+	var times []unit.Moment
+	for _, c := range r.crashes {
+		times = append(times, c.at)
+	}
+	if countSeparate(times) < CrashesNeeded {
+		return
+	}
 	for {
 		best, ok := r.mostLikely()
 		if !ok {
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -34,9 +34,6 @@
 	maxRecentParts = 16_384
 	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
 	maxUpdateParts = 256
-	// minServedAdvance is the minimum by which the time of a part's last complete answer must advance to be reported. It is far
-	// above the transmission time of a message, so that hosts don't take another host's report for a later answer.
-	minServedAdvance = time.Second
 )
 
 // PartID identifies a part of a prompt for one model.
@@ -286,8 +283,8 @@
 		}
 		known = &answer{answerVersion: v}
 		r.served[id] = known
-	} else if v.weights < known.weights || v.weights == known.weights && v.at < known.at.Add(minServedAdvance) {
-		return
+	} else if !r.clears(id, v) {
+		return // hosts would tell each other of every answer
 	}
 	known.answerVersion = v
 	r.outdated = true
@@ -303,6 +300,16 @@
 	return false
 }
 
+// clears reports whether an answer clears a part of a crash that counts against it.
+func (r *Register) clears(id PartID, v answerVersion) bool {
+	for _, c := range r.crashes {
+		if r.holds(c, id) && v.weights >= c.parts[id].Weights && v.at >= c.at {
+			return true
+		}
+	}
+	return false
+}
+
 func (r *Register) recordChange(lastChange *uint64) {
 	r.number++
 	*lastChange = r.number
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -182,6 +182,24 @@
 	assert.Equal(t, len(r.Export(again)), 0)
 }
 
+// Guards against hosts that tell each other of every answer to requests with popular parts as long as a crash is remembered.
+func TestOnlyAnswersThatClearAPartAreReported(t *testing.T) {
+	r := New(0)
+	r.RecordServed(0, prompt(first))
+	r.RecordCrash(at(time.Second), lifetime(1), prompt(first, subject))
+	number := r.Number()
+	r.RecordServed(at(2*time.Second), prompt(first, other))
+	assert.Equal(t, r.Number(), number+1)
+	for i := range 100 {
+		r.RecordServed(at(time.Duration(3+i)*time.Second), prompt(first, other))
+	}
+	assert.Equal(t, r.Number(), number+1)
+	r.RecordCrash(at(200*time.Second), lifetime(2), prompt(first, subject))
+	number = r.Number()
+	r.RecordServed(at(201*time.Second), prompt(first))
+	assert.Equal(t, r.Number(), number+1)
+}
+
 // Guards against unbounded memory and messages in a storm of crashes, and against forgetting the crashes under a blocked part in it.
 func TestAStormOfCrashesIsBounded(t *testing.T) {
 	r := New(0)
