Wait for the record of a stream that is taken up at once

What callers saw: a stream taken up within 50 ms of its first event was refused as unresumable, though the host that began it was alive. Cause: that host tells its control host with the next sync, up to 50 ms after it has sent the request. An endpoint that begins its answer at once, and a caller that comes back at once, are faster. Change: a host that finds no record asks up to three times, with a pause of 50 ms.

--- a/internal/callers/forward/resume.go
+++ b/internal/callers/forward/resume.go
@@ -65,11 +65,8 @@
 	streamsTakenUp.Inc()
 	r.work = r.newWork()
 	r.work.Software, r.takesUp = &origin.Software, true
-	h := r.h
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	// In case the caller names this request, too, when it takes the stream up again.
-	h.streams.Record(h.Now(), r.streamID(r.call.ID), origin)
+	r.h.RecordStream(r.streamID(r.call.ID), origin)
 	return nil
 }
 
@@ -137,6 +134,14 @@
 	}
 }
 
+// RecordStream records where a stream began.
+func (h *Handler) RecordStream(id streamorigin.ID, origin streamorigin.Origin) {
+	now := h.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.streams.Record(now, id, origin)
+}
+
 // StreamsSince returns the records of streams after the given number.
 func (h *Handler) StreamsSince(number uint64) streamorigin.Update {
 	h.mu.Lock()
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/codec"
+	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/host/hub"
 	"github.com/citronglade/citronglade/internal/network/kind"
@@ -16,6 +17,9 @@
 	// streamAnswerGrace to contradict it.
 	streamQueryTimeout = 300 * time.Millisecond
 	streamAnswerGrace  = 30 * time.Millisecond
+	// streamQueries is how often the control hosts are asked, with a pause of syncInterval, until they know. A caller that has lost its
+	// connection may be faster than the record of its stream, which the other entry host sends with its next sync.
+	streamQueries = 3
 )
 
 // streamsReceived records that the control host has the records of streams in a request, up to the given number.
@@ -43,6 +47,17 @@
 		g.Log.Error("message-not-sent", "cause", err.Error())
 		return streamorigin.Origin{}, false
 	}
+	for range streamQueries - 1 {
+		origin, ok := g.queryStream(ctx, q, payload)
+		if ok || !timer.Sleep(ctx, syncInterval) {
+			return origin, ok
+		}
+	}
+	return g.queryStream(ctx, q, payload)
+}
+
+// queryStream asks all control hosts once.
+func (g *Gateway) queryStream(ctx context.Context, q streamorigin.Query, payload []byte) (streamorigin.Origin, bool) {
 	ctx, cancel := context.WithTimeout(ctx, streamQueryTimeout)
 	defer cancel()
 	g.mu.Lock()
