Load tool: requests with a part that crashes engines

The emulated engines crash under a text in a prompt, but before they read it; engines of the users crash when they begin to write the answer, when more requests have joined.

--- a/internal/command/emulate/emulate.go
+++ b/internal/command/emulate/emulate.go
@@ -65,7 +65,7 @@
 		&cli.IntFlag{Name: "concurrent-loads", Usage: "engines that may load weights at once without slowing down", Value: 3},
 		&cli.BoolFlag{Name: "ignore-fencing", Usage: "obey orders with an old fencing number"},
 		&cli.StringFlag{Name: "store", Usage: "address of the cache store to export pieces to"},
-		&cli.StringFlag{Name: "poison", Usage: "a prompt with this text crashes the engine"},
+		&cli.StringFlag{Name: "poison", Usage: "a prompt with this text crashes the engine when it begins to write the answer"},
 	}
 }
 
--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -50,6 +50,9 @@
 			&cli.StringFlag{Name: "weights", Usage: "weights version of emulated engines; checks the text of answers"},
 			&cli.StringFlag{Name: "limited-engines", Usage: "addresses of emulated engines, separated by commas, that name --request-limit meanwhile"},
 			&cli.FloatFlag{Name: "request-limit", Usage: "requests/s from all hosts together", Value: 1},
+			&cli.FloatFlag{Name: "deadly-share", Usage: "share of the chat requests that get a message with --deadly-text"},
+			&cli.StringFlag{Name: "deadly-text", Usage: "contains the --poison text of emulated engines"},
+			&cli.StringFlag{Name: "deadly-engines", Usage: "addresses of emulated engines, separated by commas, whose crashes are reported"},
 			&cli.StringFlag{Name: "plot", Usage: "file (.svg or .png) for a plot of the token hit rate over time"},
 		},
 		Action: run,
@@ -70,10 +73,22 @@
 	if err := load.SetRequestLimit(ctx, limited, c.Float("request-limit")); err != nil {
 		return err
 	}
+	var deadly []string
+	if addresses := c.String("deadly-engines"); addresses != "" {
+		deadly = strings.Split(addresses, ",")
+	}
+	crashed, err := load.Crashes(ctx, deadly)
+	if err != nil {
+		return err
+	}
 	report, err := generator.Run(ctx)
 	if err != nil {
 		return err
 	}
+	if report.Deadly.Crashes, err = load.Crashes(ctx, deadly); err != nil {
+		return err
+	}
+	report.Deadly.Crashes -= crashed
 	if report.LimitedEngines, err = load.RequestsUnderLimit(ctx, limited); err != nil {
 		return err
 	}
@@ -106,6 +121,9 @@
 	if c.Int("bytes-per-token") < 1 || c.Int("piece-tokens") < 1 {
 		return nil, fault.BadSetting.New("--bytes-per-token and --piece-tokens must be above 0")
 	}
+	if share := c.Float("deadly-share"); share < 0 || share > 1 || share > 0 && c.String("deadly-text") == "" {
+		return nil, fault.BadSetting.New("--deadly-share must be between 0 and 1, and above 0 it needs --deadly-text")
+	}
 	s.Hour = c.Duration("hour")
 	text := shape.Text{BytesPerToken: c.Int("bytes-per-token"), PieceTokens: unit.Tokens(c.Int("piece-tokens"))}
 	o := load.Options{
@@ -116,6 +134,9 @@
 	if weights := unit.WeightsVersion(c.String("weights")); weights != "" {
 		o.Expect = func(r shape.Request) string { return EmulatedAnswer(r, weights) }
 	}
+	if share := c.Float("deadly-share"); share > 0 {
+		o.Workload.AddDeadly(c.String("deadly-text"), share)
+	}
 	return load.New(o), nil
 }
 
--- a/internal/emulator/engine/completion.go
+++ b/internal/emulator/engine/completion.go
@@ -105,13 +105,13 @@
 	}
 	defer s.requestDone()
 	j.waited = time.Since(arrived)
+	if err := e.compute(ctx, s, j); err != nil {
+		return err
+	}
 	if e.options.PoisonMarker != "" && strings.Contains(j.prompt, e.options.PoisonMarker) {
 		e.Crash()
 		return context.Canceled
 	}
-	if err := e.compute(ctx, s, j); err != nil {
-		return err
-	}
 	header := w.Header()
 	header.Set("Citronglade-Cached-Tokens", strconv.FormatInt(int64(j.cached), 10))
 	header.Set("Citronglade-Imported-Tokens", strconv.FormatInt(int64(j.imported), 10))
--- a/internal/emulator/engine/options.go
+++ b/internal/emulator/engine/options.go
@@ -53,7 +53,7 @@
 	WeightStore    *WeightStore  // can be shared by the emulators of a process; nil creates one for this engine
 	HonoursFencing bool
 	RestartDelay   time.Duration // time between a crash and the restart
-	PoisonMarker   string        // a prompt that contains it crashes the engine; empty disables
+	PoisonMarker   string        // a prompt that contains it crashes the engine when it begins to write the answer; empty disables
 	TimeScale      float64       // 0 means 1
 	Seed           uint64        // for the random loss of cache events
 	Settings       Settings
--- a/internal/measure/load/load_test.go
+++ b/internal/measure/load/load_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -121,3 +122,31 @@
 	assert.Equal(t, named(), "")
 	assert.Assert(t, errorx.IsOfType(load.SetRequestLimit(t.Context(), []string{"127.0.0.1:1"}, 1), fault.Unreachable))
 }
+
+// Guards against crashes of emulated engines that aren't counted, and against a deadly prompt that leaves its engine up.
+func TestCrashesUnderADeadlyPromptAreCounted(t *testing.T) {
+	e := engine.New(engine.Options{Listen: "127.0.0.1:0", Endpoint: "e", PoisonMarker: "deadly", TimeScale: 0.001, RestartDelay: time.Millisecond})
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- e.Run(ctx) }()
+	defer func() {
+		stop()
+		assert.NilError(t, <-ended)
+	}()
+	engines := []string{e.Address()}
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the engine loads its weights first
+		response, err := http.Post("http://"+e.Address()+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"a deadly b","max_tokens":1}`))
+		if err != nil {
+			return poll.Success()
+		}
+		_ = response.Body.Close()
+		return poll.Continue("status %d", response.StatusCode)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	poll.WaitOn(t, func(poll.LogT) poll.Result { // the engine restarts
+		crashes, err := load.Crashes(t.Context(), engines)
+		if err == nil && crashes == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("%d crashes, %v", crashes, err)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+}
--- a/internal/measure/shape/shape_test.go
+++ b/internal/measure/shape/shape_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,6 +37,34 @@
 	}
 }
 
+// Guards against deadly messages that stand last, where no other request shares them, and against other requests that change with them.
+func TestDeadlyMessagesAreAddedToAShareOfTheChatRequests(t *testing.T) {
+	workload := func() *shape.Workload {
+		return shape.New(shape.Shapes[0], 7, 100, shape.Text{BytesPerToken: 4, PieceTokens: 2000})
+	}
+	plain, deadly := workload(), workload()
+	deadly.AddDeadly("deadly", 0.3)
+	chats, added := 0, 0
+	for range 500 {
+		want, err := plain.Next()
+		assert.NilError(t, err)
+		got, err := deadly.Next()
+		assert.NilError(t, err)
+		if want.Call.Model && want.Call.Chat {
+			chats++
+		}
+		if !got.Deadly {
+			assert.Equal(t, string(got.Body), string(want.Body))
+			continue
+		}
+		added++
+		last := len(got.Messages) - 1
+		assert.DeepEqual(t, slices.Delete(slices.Clone(got.Messages), last-1, last), want.Messages)
+		assert.Equal(t, got.Messages[last-1].Content, "deadly")
+	}
+	assert.Assert(t, chats > 100 && added > chats/5 && added < chats/2, "%d of %d", added, chats)
+}
+
 // Guards against shares that don't add up to 1: the remaining requests would all go to the first customer or call.
 func TestSharesOfAShapeAddUpToOne(t *testing.T) {
 	for _, s := range shape.Shapes {
