Emulated engines have software versions, the load tool checks texts

Emulated engines announce a software version (--software), and engines of different versions write different texts, so that a stream joined from two of them shows.

--- a/internal/command/emulate/emulate.go
+++ b/internal/command/emulate/emulate.go
@@ -59,6 +59,7 @@
 func engineFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "weights", Usage: "weights version at the start", Value: "w1"},
+		&cli.StringFlag{Name: "software", Usage: "software version to announce; engines of different versions write different texts"},
 		&cli.IntFlag{Name: "cache-pieces", Usage: "pieces that one engine's cache holds", Value: 64},
 		&cli.IntFlag{Name: "piece-tokens", Usage: "tokens of one piece", Value: 2000},
 		&cli.FloatFlag{Name: "prefill-rate", Usage: "prefill in tokens/s", Value: 8000},
@@ -143,7 +144,7 @@
 	for i, id := range o.ids {
 		list = append(list, engine.New(engine.Options{
 			Listen: o.addresses[i], Endpoint: id, DataCentre: o.dataCentres[i], Entries: o.entries, AnnounceKey: o.key,
-			Model: unit.ModelName(c.String("name")), Weights: unit.WeightsVersion(c.String("weights")),
+			Model: unit.ModelName(c.String("name")), Weights: unit.WeightsVersion(c.String("weights")), Software: unit.SoftwareVersion(c.String("software")),
 			Slots: c.Int("slots"), CachePieces: c.Int("cache-pieces"), PieceTokens: unit.Tokens(c.Int("piece-tokens")),
 			PrefillRate: c.Float("prefill-rate"), WeightStore: weightStore, HonoursFencing: !c.Bool("ignore-fencing"),
 			Store: c.String("store"), PoisonMarker: c.String("poison"), TimeScale: c.Float("time-scale"), Seed: uint64(i),
--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -28,7 +28,7 @@
 
 Requests are sent at random times of the given rate, whether earlier ones have been answered or not. Customers' tokens
 are --token-prefix and the customer's name, as in test/sheets. With --weights the text of every answer is compared
-with the one that emulated engines give on these weights. The exit code is 1 if an answer was incomplete or wrong.`
+with the one that emulated engines give on these weights, of any one of the versions in --software. The exit code is 1 if an answer was incomplete or wrong.`
 )
 
 // New returns the load command.
@@ -48,6 +48,7 @@
 			&cli.IntFlag{Name: "piece-tokens", Usage: "as the entry hosts are set", Value: 2000},
 			&cli.StringFlag{Name: "token-prefix", Usage: "beginning of customers' bearer tokens", Value: "token-"},
 			&cli.StringFlag{Name: "weights", Usage: "weights version of emulated engines; checks the text of answers"},
+			&cli.StringFlag{Name: "software", Usage: "software versions of the emulated engines, separated by commas, as --weights"},
 			&cli.StringFlag{Name: "limited-engines", Usage: "addresses of emulated engines, separated by commas, that name --request-limit meanwhile"},
 			&cli.FloatFlag{Name: "request-limit", Usage: "requests/s from all hosts together", Value: 1},
 			&cli.FloatFlag{Name: "deadly-share", Usage: "share of the chat requests that get a message with --deadly-text"},
@@ -132,7 +133,11 @@
 		Token: func(id unit.CustomerID) string { return c.String("token-prefix") + string(id) },
 	}
 	if weights := unit.WeightsVersion(c.String("weights")); weights != "" {
-		o.Expect = func(r shape.Request) string { return EmulatedAnswer(r, weights) }
+		var versions []unit.SoftwareVersion
+		for version := range strings.SplitSeq(c.String("software"), ",") {
+			versions = append(versions, unit.SoftwareVersion(version))
+		}
+		o.Expect = func(r shape.Request) []string { return EmulatedAnswers(r, weights, versions...) }
 	}
 	if share := c.Float("deadly-share"); share > 0 {
 		o.Workload.AddDeadly(c.String("deadly-text"), share)
@@ -140,8 +145,8 @@
 	return load.New(o), nil
 }
 
-// EmulatedAnswer returns the text with which an emulated engine with these weights answers the request.
-func EmulatedAnswer(r shape.Request, weights unit.WeightsVersion) string {
+// EmulatedAnswers returns the texts with which emulated engines with these weights answer the request, one for each software version.
+func EmulatedAnswers(r shape.Request, weights unit.WeightsVersion, versions ...unit.SoftwareVersion) []string {
 	prompt := r.Messages[0].Content
 	if r.Call.Chat {
 		var messages []engine.Message
@@ -150,5 +155,9 @@
 		}
 		prompt = engine.ChatPrompt(messages)
 	}
-	return engine.Output(prompt, weights, r.Seed, r.AnswerTokens)
+	var texts []string
+	for _, version := range versions {
+		texts = append(texts, engine.OutputOf(prompt, weights, version, r.Seed, r.AnswerTokens))
+	}
+	return texts
 }
--- a/internal/emulator/engine/control.go
+++ b/internal/emulator/engine/control.go
@@ -99,6 +99,7 @@
 		Incarnation:    uint64(e.state.incarnation),
 		Model:          string(e.weights.model),
 		Weights:        string(e.weights.current),
+		Software:       string(e.options.Software),
 		Slots:          e.options.Slots,
 		CachePieces:    e.options.CachePieces,
 		HonoursFencing: e.options.HonoursFencing,
--- a/internal/emulator/engine/options.go
+++ b/internal/emulator/engine/options.go
@@ -32,8 +32,9 @@
 	Endpoint    unit.EndpointID
 	DataCentre  unit.DataCentre
 	Model       unit.ModelName
-	Weights     unit.WeightsVersion // also loaded again after a crash
-	Incarnation unit.Incarnation    // 0 selects the wall clock in milliseconds
+	Weights     unit.WeightsVersion  // also loaded again after a crash
+	Software    unit.SoftwareVersion // engines of different versions write different texts; empty announces none
+	Incarnation unit.Incarnation     // 0 selects the wall clock in milliseconds
 
 	Entries          []string // base URLs of entry hosts
 	AnnounceKey      string
--- a/internal/emulator/engine/output.go
+++ b/internal/emulator/engine/output.go
@@ -32,20 +32,27 @@
 	return text.String()
 }
 
-// Output returns the text of the first tokens of the answer to a prompt. It is the same on every engine with these weights.
+// Output returns the text of the first tokens of the answer to a prompt. It is the same on every engine with these weights that announces
+// no software version.
 func Output(prompt string, weights unit.WeightsVersion, seed int64, tokens int) string {
-	return newGenerator(prompt, weights, seed).text(0, tokens)
+	return OutputOf(prompt, weights, "", seed, tokens)
 }
 
-// generator generates the tokens of one answer. A token depends only on prompt, weights, seed and token index, so that an
-// engine can continue an answer that another engine began.
+// OutputOf is like Output, for engines with the given software version.
+func OutputOf(prompt string, weights unit.WeightsVersion, software unit.SoftwareVersion, seed int64, tokens int) string {
+	return newGenerator(prompt, weights, software, seed).text(0, tokens)
+}
+
+// generator generates the tokens of one answer. A token depends only on prompt, weights, software version, seed and token index, so that
+// an engine can continue an answer that another engine of its version began.
 type generator struct {
 	key [sha256.Size]byte
 }
 
-func newGenerator(prompt string, weights unit.WeightsVersion, seed int64) generator {
+func newGenerator(prompt string, weights unit.WeightsVersion, software unit.SoftwareVersion, seed int64) generator {
 	content := sha256.Sum256([]byte(prompt))
 	data := append(content[:], weights...)
+	data = append(data, software...)
 	data = binary.BigEndian.AppendUint64(data, uint64(seed))
 	return generator{key: sha256.Sum256(data)}
 }
--- a/internal/emulator/engine/request.go
+++ b/internal/emulator/engine/request.go
@@ -187,7 +187,7 @@
 
 // setOutputAndPieces sets the fields of j that depend on the weights, and the pieces if the router named none.
 func (e *Emulator) setOutputAndPieces(j *job) {
-	j.output = newGenerator(j.prompt, j.weights, j.seed)
+	j.output = newGenerator(j.prompt, j.weights, e.options.Software, j.seed)
 	if len(j.pieces) == 0 {
 		j.pieces = promptPieces(j.prompt, j.weights, int(e.options.PieceTokens)*e.options.BytesPerToken)
 	}
--- a/internal/emulator/harness/announcer.go
+++ b/internal/emulator/harness/announcer.go
@@ -38,6 +38,7 @@
 	Incarnation    uint64 `json:"incarnation"`
 	Model          string `json:"model,omitempty"`
 	Weights        string `json:"weights-version,omitempty"`
+	Software       string `json:"software-version,omitempty"`
 	Service        string `json:"service,omitempty"`
 	Slots          int    `json:"slots"`
 	CachePieces    int    `json:"cache-pieces"`
