Resume a stream at engines of its software version on fixed hosts, too

What callers saw: a stream that goes on after its engine was killed could hold text of two software versions. Change: announcements may carry a software-version, and the placement of a resumed stream is restricted to it, as to the weights.

--- a/internal/callers/request/execution.go
+++ b/internal/callers/request/execution.go
@@ -24,6 +24,8 @@
 	triedEndpoints []unit.EndpointID
 	// weights is the version with which a stream that has begun must be resumed. It is empty before that.
 	weights unit.WeightsVersion
+	// software is likewise the software version with which it must be resumed, nil before that.
+	software *unit.SoftwareVersion
 	// chosen is the placement decision of the latest attempt.
 	chosen placement.Decision
 	// firstToken is the time of the first token, 0 before it.
@@ -137,7 +139,7 @@
 	}
 	decision, err := h.Router.Place(placement.Request{
 		ID: e.ID, Class: e.Class.Name, Urgency: e.Class.Urgency, Kind: e.Kind, Name: e.Target,
-		ChainFor: e.chainFor, MaxTokens: e.MaxTokens, Avoid: e.triedEndpoints, Weights: e.weights,
+		ChainFor: e.chainFor, MaxTokens: e.MaxTokens, Avoid: e.triedEndpoints, Weights: e.weights, Software: e.software,
 	})
 	if err != nil {
 		return err
--- a/internal/callers/request/stream.go
+++ b/internal/callers/request/stream.go
@@ -92,7 +92,8 @@
 	if answer.Status != http.StatusOK {
 		err = e.forwardErrorAnswer(answer, caller, w)
 	} else {
-		e.weights = answer.Weights
+		software := e.chosen.Endpoint.Software
+		e.weights, e.software = answer.Weights, &software
 		err = e.forwardEvents(answer, merger, caller)
 		if err == nil {
 			err = wrapCallerLeft(caller.encoder.Done())
--- a/internal/endpoints/intake/message.go
+++ b/internal/endpoints/intake/message.go
@@ -18,21 +18,22 @@
 
 // announcement is the body of POST /endpoint/v1/announce.
 type announcement struct {
-	Endpoint       unit.EndpointID     `json:"endpoint-id"`
-	Kind           endpoint.Kind       `json:"kind"`
-	Address        string              `json:"address"`
-	DataCentre     unit.DataCentre     `json:"data-centre"`
-	Incarnation    unit.Incarnation    `json:"incarnation"`
-	Model          unit.ModelName      `json:"model"`
-	Weights        unit.WeightsVersion `json:"weights-version"`
-	Service        string              `json:"service"`
-	Slots          int                 `json:"slots"`
-	CachePieces    int                 `json:"cache-pieces"`
-	HonoursFencing bool                `json:"honours-fencing"`
-	Draining       bool                `json:"draining"`
-	Loading        bool                `json:"loading"`
-	Sequence       uint64              `json:"sequence"`
-	Load           load                `json:"load"`
+	Endpoint       unit.EndpointID      `json:"endpoint-id"`
+	Kind           endpoint.Kind        `json:"kind"`
+	Address        string               `json:"address"`
+	DataCentre     unit.DataCentre      `json:"data-centre"`
+	Incarnation    unit.Incarnation     `json:"incarnation"`
+	Model          unit.ModelName       `json:"model"`
+	Weights        unit.WeightsVersion  `json:"weights-version"`
+	Software       unit.SoftwareVersion `json:"software-version"`
+	Service        string               `json:"service"`
+	Slots          int                  `json:"slots"`
+	CachePieces    int                  `json:"cache-pieces"`
+	HonoursFencing bool                 `json:"honours-fencing"`
+	Draining       bool                 `json:"draining"`
+	Loading        bool                 `json:"loading"`
+	Sequence       uint64               `json:"sequence"`
+	Load           load                 `json:"load"`
 }
 
 type load struct {
@@ -75,6 +76,8 @@
 		return fault.BadInput.New("slots is %d, allowed are 0 to %d", a.Slots, maxSlots)
 	case a.Kind == endpoint.KindEngine && (a.Model == "" || len(a.Model) > maxNameBytes || len(a.Weights) > maxNameBytes):
 		return fault.BadInput.New("an engine needs a model of at most %d bytes", maxNameBytes)
+	case len(a.Software) > maxNameBytes:
+		return fault.BadInput.New("software-version has %d bytes, allowed are at most %d", len(a.Software), maxNameBytes)
 	case a.Kind == endpoint.KindService && (a.Service == "" || len(a.Service) > maxNameBytes):
 		return fault.BadInput.New("a service needs a service name of at most %d bytes", maxNameBytes)
 	}
@@ -84,7 +87,7 @@
 func (a announcement) toRouting() endpoint.Announcement {
 	return endpoint.Announcement{
 		Endpoint: a.Endpoint, Kind: a.Kind, Address: a.Address, DataCentre: a.DataCentre, Incarnation: a.Incarnation,
-		Model: a.Model, Weights: a.Weights, Service: a.Service, Slots: a.Slots, CachePieces: a.CachePieces,
+		Model: a.Model, Weights: a.Weights, Software: a.Software, Service: a.Service, Slots: a.Slots, CachePieces: a.CachePieces,
 		HonoursFencing: a.HonoursFencing, Draining: a.Draining, Loading: a.Loading, Sequence: a.Sequence,
 		Load: endpoint.Load{
 			Running: a.Load.Running, Queued: a.Load.Queued, QueuedTokens: a.Load.QueuedTokens, FreeSlots: a.Load.FreeSlots,
--- a/internal/endpoints/intake/server_test.go
+++ b/internal/endpoints/intake/server_test.go
@@ -13,7 +13,7 @@
 )
 
 const goodAnnouncement = `{"endpoint-id":"e1","kind":"engine","address":"127.0.0.1:8000","incarnation":7,` +
-	`"model":"taalmodel","weights-version":"w1","slots":8,"sequence":3,"load":{"running":2}}`
+	`"model":"taalmodel","weights-version":"w1","software-version":"s1","slots":8,"sequence":3,"load":{"running":2}}`
 
 // Guards against announcements that are accepted without the key or with values that routing can't use, and against fields of
 // valid announcements that get lost on the way to the OnAnnouncement callback.
@@ -29,6 +29,7 @@
 		{"host name", "/endpoint/v1/announce", "secret", strings.Replace(goodAnnouncement, "127.0.0.1", "engine", 1), http.StatusBadRequest},
 		{"no incarnation", "/endpoint/v1/announce", "secret", strings.Replace(goodAnnouncement, `"incarnation":7`, `"incarnation":0`, 1), http.StatusBadRequest},
 		{"unknown kind", "/endpoint/v1/announce", "secret", strings.Replace(goodAnnouncement, `"engine"`, `"router"`, 1), http.StatusBadRequest},
+		{"long software version", "/endpoint/v1/announce", "secret", strings.Replace(goodAnnouncement, `"s1"`, `"`+strings.Repeat("s", 200)+`"`, 1), http.StatusBadRequest},
 		{"unknown event", "/endpoint/v1/cache-events", "secret", `{"endpoint-id":"e1","events":[{"kind":"moved"}]}`, http.StatusBadRequest},
 		{"oversize", "/endpoint/v1/cache-events", "secret", `{"endpoint-id":"` + strings.Repeat("x", 3<<20) + `"}`, http.StatusRequestEntityTooLarge},
 		{"good events", "/endpoint/v1/cache-events", "secret", `{"endpoint-id":"e1","incarnation":7,"first-sequence":1,"events":[{"kind":"cleared","digest":"00000000000000000000000000000000"}]}`, http.StatusNoContent},
@@ -52,6 +53,7 @@
 			assert.Equal(t, accepted == 1, test.status < 300)
 			if test.status == http.StatusOK {
 				assert.Equal(t, heard[0].Weights, endpoint.Announcement{Weights: "w1"}.Weights)
+				assert.Equal(t, heard[0].Software, endpoint.Announcement{Software: "s1"}.Software)
 				assert.Equal(t, heard[0].Load.Running, 2)
 				assert.Assert(t, strings.Contains(recorder.Body.String(), `"cache-event-sample":4`))
 			}
--- a/internal/routing/endpoint/announcement.go
+++ b/internal/routing/endpoint/announcement.go
@@ -33,6 +33,7 @@
 	Incarnation                       unit.Incarnation
 	Model                             unit.ModelName
 	Weights                           unit.WeightsVersion
+	Software                          unit.SoftwareVersion // empty if the endpoint doesn't announce it
 	Service                           string
 	Slots, CachePieces                int
 	HonoursFencing, Draining, Loading bool
--- a/internal/routing/placement/placer.go
+++ b/internal/routing/placement/placer.go
@@ -91,5 +91,5 @@
 }
 
 func (r *Request) excludes(e *endpoint.Entry) bool {
-	return r.Weights != "" && e.Weights != r.Weights || slices.Contains(r.Avoid, e.Endpoint)
+	return r.Weights != "" && e.Weights != r.Weights || r.Software != nil && e.Software != *r.Software || slices.Contains(r.Avoid, e.Endpoint)
 }
--- a/internal/routing/placement/request.go
+++ b/internal/routing/placement/request.go
@@ -23,6 +23,8 @@
 	// Weights restricts the choice to endpoints that serve this weights version; empty allows any. A stream that has
 	// begun must continue on the same weights.
 	Weights unit.WeightsVersion
+	// Software restricts the choice likewise to endpoints of this software version; nil allows any.
+	Software *unit.SoftwareVersion
 	// Avoid lists endpoints that must not be chosen because an attempt there has failed.
 	Avoid []unit.EndpointID
 }
