Block messages that crash engines on fixed hosts, too

What callers saw: requests that share one message which crashes engines crashed two engines each, whatever else they held. Cause: the same as on hosts that find each other: the path of "citronglade host" remembered a crash by the digest of the whole prompt. Change: its router keeps a crashcause register over the messages of prompts, without the last one. Hosts tell each other the changes of the last 30 s by gossip and at once after a crash; a starting host takes over all of it.

--- a/internal/callers/request/attempt.go
+++ b/internal/callers/request/attempt.go
@@ -58,7 +58,7 @@
 	e.reportResult(ctx, answer, answer.Elapsed, err)
 	e.recordAttempt(answer.Wrote, answer.Status, err)
 	if err == nil {
-		e.handler.Router.RecordSuccess(e.content)
+		e.handler.Router.RecordSuccess(e.content, e.parts())
 		e.status = answer.Status
 		e.markFirstToken()
 	}
@@ -117,13 +117,17 @@
 	}
 	chosen := e.chosen.Endpoint
 	if e.Kind == endpoint.KindEngine && attempt.Wrote && connectionBroken(err) {
-		quarantined := e.handler.Router.RecordCrash(e.content(), chosen.Endpoint, chosen.Incarnation)
+		quarantined := e.handler.Router.RecordCrash(e.content(), e.parts(), chosen.Endpoint, chosen.Incarnation)
 		// The other hosts must know of the crash before the caller gets its answer and resends the request through one of them.
 		e.handler.SpreadQuarantines(ctx)
 		if quarantined {
 			klog.Warningf("request: %s has crashed two engines and is quarantined, last crashed engine: %s", e.ID, chosen.Endpoint)
 			return false
 		}
+		if e.handler.Router.SuspectsParts(e.parts()) {
+			klog.Warningf("request: %s has a message that may have crashed several engines, last crashed engine: %s", e.ID, chosen.Endpoint)
+			return false
+		}
 	}
 	e.triedEndpoints = append(e.triedEndpoints, chosen.Endpoint)
 	attempt.Repeatable, attempt.OnceOnly = !e.isOnceOnly(), e.isOnceOnly()
--- a/internal/callers/request/execution.go
+++ b/internal/callers/request/execution.go
@@ -9,6 +9,7 @@
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/record/chain"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/endpoint"
 	"github.com/citronglade/citronglade/internal/routing/placement"
 	"github.com/citronglade/citronglade/internal/routing/prefix"
@@ -59,6 +60,15 @@
 	return prefix.ContentDigest(e.prompt(""))
 }
 
+// parts identifies the messages of the prompt that other requests may share: all but the last one.
+func (e *execution) parts() []crashcause.PartID {
+	var parts []crashcause.PartID
+	for _, message := range e.Messages[:max(len(e.Messages)-1, 0)] {
+		parts = append(parts, crashcause.NewPartID(unit.ModelName(e.Target), message))
+	}
+	return parts
+}
+
 func (e *execution) prompt(weights unit.WeightsVersion) prefix.Prompt {
 	return prefix.Prompt{
 		Customer: e.Customer.ID, Model: unit.ModelName(e.Target), Weights: weights, Messages: e.Messages,
@@ -74,7 +84,7 @@
 		return err
 	}
 	if e.Kind == endpoint.KindEngine {
-		if err := h.Router.CheckQuarantine(e.content); err != nil {
+		if err := h.Router.CheckQuarantine(e.content, e.parts()); err != nil {
 			return err
 		}
 	}
--- a/internal/callers/request/stream.go
+++ b/internal/callers/request/stream.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		e.reportResult(ctx, answer, answer.Elapsed, err)
 	} else {
-		e.handler.Router.RecordSuccess(e.content)
+		e.handler.Router.RecordSuccess(e.content, e.parts())
 	}
 	e.recordAttempt(answer.Wrote, answer.Status, err)
 	return answer.Wrote, err
--- a/internal/host/entry/loops.go
+++ b/internal/host/entry/loops.go
@@ -193,7 +193,7 @@
 	}
 }
 
-// SpreadQuarantines sends the quarantined contents to all neighbours without waiting for the next gossip round, because the caller may
+// SpreadQuarantines sends the quarantined contents and the causes of crashes to all neighbours without waiting for the next gossip round, because the caller may
 // resend the request that caused the crashes to another host at once. It returns when the neighbours have answered, or after
 // quarantineTimeout.
 func (h *Host) SpreadQuarantines(ctx context.Context) {
@@ -202,7 +202,7 @@
 	h.mu.Lock()
 	neighbours := h.exchange.Neighbours()
 	h.mu.Unlock()
-	message := gossip.Message{Quarantines: h.router.Quarantines()}
+	message := gossip.Message{Quarantines: h.router.Quarantines(), CrashCauses: h.router.CrashCauses()}
 	var group sync.WaitGroup
 	for _, peer := range neighbours {
 		group.Go(func() {
--- a/internal/network/gossip/exchange.go
+++ b/internal/network/gossip/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/endpoint"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
@@ -48,6 +49,8 @@
 	EndpointHashes []uint32                  `cbor:"4,keyasint,omitempty"`
 	Quarantines    []quarantine.Notice       `cbor:"5,keyasint,omitempty"`
 	Version        unit.ConfigurationVersion `cbor:"6,keyasint,omitempty"`
+	// CrashCauses are notices of crashed and answered parts of prompts.
+	CrashCauses []crashcause.Notice `cbor:"7,keyasint,omitempty"`
 }
 
 // Answer says what the receiver of a message needs in addition.
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -34,6 +34,8 @@
 	maxRecentParts = 16_384
 	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
 	maxUpdateParts = 256
+	// recentTime is the age of the changes that Recent returns.
+	recentTime = 30 * time.Second
 )
 
 // PartID identifies a part of a prompt for one model.
@@ -83,7 +85,13 @@
 type crash struct {
 	at         unit.Moment
 	parts      map[PartID]Part
-	lastChange uint64
+	lastChange change
+}
+
+// change is the number of a change of the register and when it was made.
+type change struct {
+	number uint64
+	at     unit.Moment
 }
 
 // answerVersion is a complete answer: when it ended, and on which weights.
@@ -95,7 +103,7 @@
 // answer is the last complete answer to a request with a part.
 type answer struct {
 	answerVersion
-	lastChange uint64
+	lastChange change
 }
 
 // Cause is a part that is blocked because it explains crashes.
@@ -125,7 +133,7 @@
 		v := answerVersion{p.Weights, now}
 		r.recent.Add(p.ID, v)
 		if len(r.crashes) > 0 {
-			r.addServed(p.ID, v)
+			r.addServed(now, p.ID, v)
 		}
 	}
 }
@@ -186,24 +194,8 @@
 	if number > r.number {
 		number = 0
 	}
-	type change struct {
-		number uint64
-		notice Notice
-	}
-	var changes []change
-	for l, c := range r.crashes {
-		if c.lastChange > number {
-			changes = append(changes, change{c.lastChange, Notice{Lifetime: l, Parts: c.sortedParts(), Age: now.Sub(c.at)}})
-		}
-	}
-	for id, a := range r.served {
-		if a.lastChange > number {
-			changes = append(changes, change{a.lastChange, Notice{Parts: []Part{{ID: id, Weights: a.weights}}, Age: now.Sub(a.at)}})
-		}
-	}
-	slices.SortFunc(changes, func(a, b change) int { return cmp.Compare(a.number, b.number) })
 	update, parts := Update{Number: r.number}, 0
-	for _, c := range changes {
+	for _, c := range r.changesSince(now, number) {
 		if parts >= maxUpdateParts {
 			return update
 		}
@@ -214,6 +206,46 @@
 	return update
 }
 
+// Recent returns the newest changes of the last 30 s, with at most 256 parts and those of one more crash, for a peer whose number isn't
+// known.
+func (r *Register) Recent(now unit.Moment) []Notice {
+	var notices []Notice
+	parts := 0
+	for _, c := range slices.Backward(r.changesSince(now, 0)) {
+		if parts >= maxUpdateParts {
+			break
+		}
+		if now.Sub(c.at) <= recentTime {
+			notices = append(notices, c.notice)
+			parts += len(c.notice.Parts)
+		}
+	}
+	return notices
+}
+
+// numberedNotice is a notice and the change that it tells of.
+type numberedNotice struct {
+	change
+	notice Notice
+}
+
+// changesSince returns the changes after the given number, the oldest first.
+func (r *Register) changesSince(now unit.Moment, number uint64) []numberedNotice {
+	var changes []numberedNotice
+	for l, c := range r.crashes {
+		if c.lastChange.number > number {
+			changes = append(changes, numberedNotice{c.lastChange, Notice{Lifetime: l, Parts: c.sortedParts(), Age: now.Sub(c.at)}})
+		}
+	}
+	for id, a := range r.served {
+		if a.lastChange.number > number {
+			changes = append(changes, numberedNotice{a.lastChange, Notice{Parts: []Part{{ID: id, Weights: a.weights}}, Age: now.Sub(a.at)}})
+		}
+	}
+	slices.SortFunc(changes, func(a, b numberedNotice) int { return cmp.Compare(a.number, b.number) })
+	return changes
+}
+
 // Export returns all notices, for a register that has none.
 func (r *Register) Export(now unit.Moment) []Notice {
 	var notices []Notice
@@ -233,7 +265,7 @@
 			continue
 		}
 		for _, p := range n.Parts {
-			r.addServed(p.ID, answerVersion{p.Weights, now.Add(-n.Age)})
+			r.addServed(now, p.ID, answerVersion{p.Weights, now.Add(-n.Age)})
 		}
 	}
 }
@@ -255,7 +287,7 @@
 		c = &crash{at: at, parts: map[PartID]Part{}}
 		r.crashes[n.Lifetime] = c
 		r.outdated = true
-		r.recordChange(&c.lastChange)
+		r.recordChange(now, &c.lastChange)
 	}
 	if at < c.at {
 		c.at, r.outdated = at, true
@@ -266,16 +298,16 @@
 		}
 		c.parts[p.ID] = p
 		r.outdated = true
-		r.recordChange(&c.lastChange)
+		r.recordChange(now, &c.lastChange)
 		if v, ok := r.recent.Peek(p.ID); ok {
-			r.addServed(p.ID, v)
+			r.addServed(now, p.ID, v)
 		}
 	}
 	r.evictExcess(n.Lifetime)
 }
 
 // addServed records the last complete answer to a request with a part, if the part stands in a crash.
-func (r *Register) addServed(id PartID, v answerVersion) {
+func (r *Register) addServed(now unit.Moment, id PartID, v answerVersion) {
 	known := r.served[id]
 	if known == nil {
 		if !r.standsInCrash(id) {
@@ -288,7 +320,7 @@
 	}
 	known.answerVersion = v
 	r.outdated = true
-	r.recordChange(&known.lastChange)
+	r.recordChange(now, &known.lastChange)
 }
 
 func (r *Register) standsInCrash(id PartID) bool {
@@ -310,9 +342,9 @@
 	return false
 }
 
-func (r *Register) recordChange(lastChange *uint64) {
+func (r *Register) recordChange(now unit.Moment, lastChange *change) {
 	r.number++
-	*lastChange = r.number
+	*lastChange = change{r.number, now}
 }
 
 // evictExcess makes room after a crash was added, by removing the oldest crash that doesn't support a block.
--- a/internal/routing/router/router.go
+++ b/internal/routing/router/router.go
@@ -4,13 +4,17 @@
 package router
 
 import (
+	"math"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/gossip"
 	"github.com/citronglade/citronglade/internal/routing/cache"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/ejection"
 	"github.com/citronglade/citronglade/internal/routing/endpoint"
 	"github.com/citronglade/citronglade/internal/routing/placement"
@@ -39,6 +43,7 @@
 	guard       *ejection.Detector
 	placer      *placement.Placer
 	quarantines *quarantine.Register
+	crashCauses *crashcause.Register
 	budget      *retry.Budget
 }
 
@@ -48,6 +53,7 @@
 	Announcements []endpoint.Announcement `cbor:"2,keyasint"`
 	Quarantines   []quarantine.Notice     `cbor:"3,keyasint"`
 	Cached        []cache.EndpointPieces  `cbor:"4,keyasint"`
+	CrashCauses   []crashcause.Notice     `cbor:"5,keyasint,omitempty"`
 }
 
 // maxCopiedPieces limits the cache entries in a Snapshot: about 1 MB, which a starting host receives in one message.
@@ -61,6 +67,7 @@
 		index:       cache.New(o.IndexPieces),
 		guard:       ejection.New(ejection.Defaults()),
 		quarantines: quarantine.New(),
+		crashCauses: crashcause.New(rand.New(rand.NewPCG(o.Seed, 2)).Float64()),
 		budget:      retry.New(),
 	}
 	r.index.SetSample(max(o.Sample, 1))
@@ -119,9 +126,12 @@
 	r.guard.Report(now, result.Endpoint, result.Failed, duration)
 }
 
-// CheckQuarantine fails with fault.Quarantined if the content has crashed engines. The function content is only called if any
-// crash is recorded.
-func (r *Router) CheckQuarantine(content func() unit.Digest) error {
+// CheckQuarantine fails with fault.Quarantined if the content or one of the parts of its prompt has crashed engines. The function content
+// is only called if any crash is recorded.
+func (r *Router) CheckQuarantine(content func() unit.Digest, parts []crashcause.PartID) error {
+	if err := r.checkParts(parts); err != nil {
+		return err
+	}
 	if r.noCrashRecorded() {
 		return nil
 	}
@@ -137,23 +147,59 @@
 		WithProperty(fault.RetryAfter, until.Sub(now))
 }
 
+func (r *Router) checkParts(parts []crashcause.PartID) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.now()
+	cause, blocked := r.crashCauses.Check(now, parts)
+	if !blocked {
+		return nil
+	}
+	return fault.Quarantined.New("a message of this request has crashed %d engines and isn't run for now", cause.Crashes).
+		WithProperty(fault.RetryAfter, cause.Until.Sub(now))
+}
+
+// SuspectsParts reports whether a part of a prompt may have crashed several engines.
+func (r *Router) SuspectsParts(parts []crashcause.PartID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashCauses.Suspects(parts)
+}
+
 func (r *Router) noCrashRecorded() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.quarantines.Empty()
 }
 
-// RecordCrash records that an endpoint broke off its answer while it ran the content, and reports whether the content is
-// now quarantined.
-func (r *Router) RecordCrash(content unit.Digest, id unit.EndpointID, incarnation unit.Incarnation) bool {
+// RecordCrash records that an endpoint broke off its answer while it ran the content with the given parts in its prompt, and reports
+// whether the content is now quarantined.
+func (r *Router) RecordCrash(content unit.Digest, parts []crashcause.PartID, id unit.EndpointID, incarnation unit.Incarnation) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if len(parts) > 0 {
+		l := registry.Lifetime{Endpoint: id, Born: int64(incarnation)} //nolint:gosec // only compared for equality
+		r.crashCauses.RecordCrash(r.now(), l, inOrder(parts))
+	}
 	return r.quarantines.RecordCrash(r.now(), quarantine.Notice{Content: content, Endpoint: id, Incarnation: incarnation})
 }
 
-// RecordSuccess records that an endpoint answered the content, so that earlier crashes during its execution aren't attributed
-// to it. The function content is only called if any crash is recorded.
-func (r *Router) RecordSuccess(content func() unit.Digest) {
+// inOrder returns parts with their positions. Announcements name weights by texts without an order, so answers on any weights clear a
+// part.
+func inOrder(ids []crashcause.PartID) []crashcause.Part {
+	parts := make([]crashcause.Part, 0, len(ids))
+	for i, id := range ids {
+		parts = append(parts, crashcause.Part{ID: id, Position: uint8(min(i, math.MaxUint8))}) //nolint:gosec // bounded
+	}
+	return parts
+}
+
+// RecordSuccess records that an endpoint answered the content with the given parts in its prompt, so that earlier crashes during its
+// execution aren't attributed to them. The function content is only called if any crash is recorded.
+func (r *Router) RecordSuccess(content func() unit.Digest, parts []crashcause.PartID) {
+	r.mu.Lock()
+	r.crashCauses.RecordServed(r.now(), inOrder(parts))
+	r.mu.Unlock()
 	if r.noCrashRecorded() {
 		return
 	}
@@ -170,6 +216,13 @@
 	return r.quarantines.Export(r.now())
 }
 
+// CrashCauses returns the recent notices of crashed and answered parts of prompts to be sent to other hosts.
+func (r *Router) CrashCauses() []crashcause.Notice {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashCauses.Recent(r.now())
+}
+
 // CountRequest counts a new request. The retry budget is a fraction of the counted requests.
 func (r *Router) CountRequest() {
 	r.mu.Lock()
@@ -252,7 +305,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.now()
-	return x.Compose(now, r.roster, r.quarantines.Export(now), version)
+	r.crashCauses.Prune(now)
+	message := x.Compose(now, r.roster, r.quarantines.Export(now), version)
+	message.CrashCauses = r.crashCauses.Recent(now)
+	return message
 }
 
 // Continue returns the next message with the state that a peer requested in its answer, and whether there is one.
@@ -266,6 +322,7 @@
 func (r *Router) Receive(message gossip.Message) gossip.Answer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.crashCauses.Merge(r.now(), message.CrashCauses)
 	return gossip.Receive(r.now(), r.roster, r.quarantines, message)
 }
 
@@ -275,7 +332,7 @@
 	defer r.mu.Unlock()
 	return Snapshot{
 		Placement: r.placer.Snapshot(), Announcements: r.roster.Snapshot(), Quarantines: r.quarantines.Export(r.now()),
-		Cached: r.index.Export(maxCopiedPieces),
+		Cached: r.index.Export(maxCopiedPieces), CrashCauses: r.crashCauses.Export(r.now()),
 	}
 }
 
@@ -288,6 +345,7 @@
 		r.roster.Apply(now, announcement)
 	}
 	r.quarantines.Merge(now, c.Quarantines)
+	r.crashCauses.Merge(now, c.CrashCauses)
 	r.index.Import(c.Cached)
 	return r.placer.Restore(c.Placement)
 }
--- a/internal/routing/router/router_test.go
+++ b/internal/routing/router/router_test.go
@@ -120,12 +120,12 @@
 func TestAnAnswerClearsAContent(t *testing.T) {
 	r := newTestRouter(t, "warm")
 	content := func() unit.Digest { return unit.Digest{1} }
-	assert.Assert(t, !r.RecordCrash(content(), "e0", 1))
+	assert.Assert(t, !r.RecordCrash(content(), nil, "e0", 1))
 	r.now = r.now.Add(time.Second)
-	r.RecordSuccess(content)
+	r.RecordSuccess(content, nil)
 	r.now = r.now.Add(time.Second)
-	assert.Assert(t, !r.RecordCrash(content(), "e1", 1))
-	assert.NilError(t, r.CheckQuarantine(content))
-	assert.Assert(t, r.RecordCrash(content(), "e2", 1))
-	assert.ErrorContains(t, r.CheckQuarantine(content), "quarantined")
+	assert.Assert(t, !r.RecordCrash(content(), nil, "e1", 1))
+	assert.NilError(t, r.CheckQuarantine(content, nil))
+	assert.Assert(t, r.RecordCrash(content(), nil, "e2", 1))
+	assert.ErrorContains(t, r.CheckQuarantine(content, nil), "quarantined")
 }
