Keep a taken-up stream's class in metrics, compute a digest before two goroutines use it

Cause: found by reading the diff. The higher priority of a request that takes a stream up also changed its class in the metrics. The check after an answer that ends with its connection computes the content's digest in a goroutine of its own, while the request may go on. Change: the priority is raised only in what the endpoint is told, and the digest is computed first.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -125,6 +125,9 @@
 		order.Customer = r.customer.Name
 	}
 	order.Priority = r.priority()
+	if r.takesUp {
+		order.Priority = max(order.Priority-1, 0) // the caller has waited for the stream before
+	}
 	if r.work.HasPrompt {
 		order.Weights, order.FetchFrom, order.SaveTo = choice.Weights, choice.Source, choice.Save
 		order.CacheKey = assign.CacheKey(choice.Weights, r.work.CacheOwner)
@@ -179,6 +182,7 @@
 func (r *request) endComplete(flight *assign.Attempt, choice assign.Choice, answer *exchange.Answer) {
 	r.withAssigner(func(a *assign.Assigner) { a.End(r.h.Now(), flight, assign.EndedComplete) })
 	if answer.EndsWithConnection() {
+		r.contentDigest() // computed here, since this goroutine may go on to use it
 		go r.confirmServed(choice)
 		return
 	}
@@ -302,7 +306,7 @@
 		}
 		if !r.headSent {
 			if err := r.awaitCorrection(ctx); err != nil {
-				r.endAttempt(flight, choice, assign.EndedByCaller, err)
+				r.endAttempt(flight, choice, assign.EndedByCaller, err) // the endpoint isn't at fault
 				return attemptResult{err: err}
 			}
 			r.copyHeader(answer.Header)
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -527,15 +527,10 @@
 	r.h.Meter.Observe(sample)
 }
 
-// priority returns the priority of the request, 0 for the most urgent. The customer's priority, if set, overrides the route's. A request
-// that takes a stream up goes before those that begin one, since its caller has waited before.
+// priority returns the priority of the request, 0 for the most urgent. The customer's priority, if set, overrides the route's.
 func (r *request) priority() int {
-	priority := r.route.Priority
 	if r.customer != nil && r.customer.Priority != nil {
-		priority = *r.customer.Priority
+		return *r.customer.Priority
 	}
-	if r.takesUp {
-		priority = max(priority-1, 0)
-	}
-	return priority
+	return r.route.Priority
 }
