Keep answers to parts that are heard before their crash

Cause: further parts of a crash that hosts add later get a higher number than the answers that were known when it was first heard of. So a reader got the answer first, found the part in no crash and dropped it; then it took harmless parts, which had been answered, for more likely causes than the deadly one. Change: such an answer is remembered and counts when the crash arrives. Evidence: TestAnAnswerCountsThatIsHeardBeforeItsCrash fails before (part 1 blocked instead of part 3) and passes.

--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -30,7 +30,7 @@
 	retention                  = 3 * blockDuration
 	// maxCrashes limits the remembered crashes, maxParts the parts of each of them.
 	maxCrashes, maxParts = 128, 512
-	// maxRecentParts limits the parts that this host remembers as served.
+	// maxRecentParts limits the parts that are remembered as served.
 	maxRecentParts = 16_384
 	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
 	maxUpdateParts = 256
@@ -75,7 +75,7 @@
 	extraBlockTime time.Duration
 	crashes        map[registry.Lifetime]*crash
 	served         map[PartID]*answer                    // of the parts that stand in crashes
-	recent         *simplelru.LRU[PartID, answerVersion] // this host's own complete answers
+	recent         *simplelru.LRU[PartID, answerVersion] // complete answers, also to parts that stand in no crash
 	causes         map[PartID]Cause
 	explained      map[registry.Lifetime]bool // crashes of causes
 	outdated       bool                       // causes and explained must be computed again
@@ -265,7 +265,11 @@
 			continue
 		}
 		for _, p := range n.Parts {
-			r.addServed(now, p.ID, answerVersion{p.Weights, now.Add(-n.Age)})
+			v := answerVersion{p.Weights, now.Add(-n.Age)}
+			if known, ok := r.recent.Peek(p.ID); !ok || v.weights > known.weights || v.weights == known.weights && v.at > known.at {
+				r.recent.Add(p.ID, v) // the crash that the answer speaks to may not be known yet
+			}
+			r.addServed(now, p.ID, v)
 		}
 	}
 }
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -159,6 +159,35 @@
 	}
 }
 
+// Guards against a host that blocks a harmless part because it heard of an answer before it heard of the crash that the answer speaks to:
+// further parts of a crash are told after answers that were known before.
+func TestAnAnswerCountsThatIsHeardBeforeItsCrash(t *testing.T) {
+	r := New(0)
+	r.RecordServed(0, prompt(first))
+	for i := range 4 {
+		when := at(time.Duration(i+1) * time.Second)
+		r.RecordCrash(when, lifetime(i), prompt(first))
+		r.RecordCrash(when, lifetime(i), prompt(first, []PartID{other, deadly}[min(i, 1)]))
+	}
+	now := at(6 * time.Second)
+	reader := New(0)
+	for number := uint64(0); number < r.Number(); { // as in several messages
+		update := r.Since(now, number)
+		reader.Merge(now, update.Notices[:1])
+		number = r.numberOf(update.Notices[0])
+	}
+	assert.DeepEqual(t, reader.Causes(now), r.Causes(now))
+	assert.Equal(t, reader.Causes(now)[0].Part, deadly)
+}
+
+// numberOf returns the number of the change that a notice tells of.
+func (r *Register) numberOf(n Notice) uint64 {
+	if c, ok := r.crashes[n.Lifetime]; ok {
+		return c.lastChange.number
+	}
+	return r.served[n.Parts[0].ID].lastChange.number
+}
+
 // Guards against a block that is lost when all hosts restart, and against one that never ends.
 func TestABlockOutlivesARestartAndEnds(t *testing.T) {
 	r := New(0)
