Keep a part blocked when another one explains its crashes, too

With two deadly parts, hosts blocked one and let the other through, in turn. Cause: the causes were the smallest set that explains all crashes. Two parts that had crashed engines together were explained by the one with more crashes; the other one became free, crashed engines, explained more, and so on. Change: crashes are gone through in order of time; a crash that no cause explains adds one, and the causes found before stay. Parts that were answered before are considered only for what is left then, and need four crashes.

--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -2,24 +2,32 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 )
 
-// suspect is a part and the crashes that count against it and that no other part explains.
+// suspect is a part and the crashes that count against it, in order of time.
 type suspect struct {
 	id        PartID
 	position  uint8
 	lifetimes []registry.Lifetime
-	times     []unit.Moment
+	separate  int         // number of separate crashes, see simultaneity
+	begin     unit.Moment // of the last separate one
 	newest    unit.Moment
-	served    bool // a request with the part has been answered on the weights of these crashes
 }
 
-// update determines the causes again if the evidence has changed. It takes the most likely part, leaves out the crashes that this part
-// explains, and goes on until no part is left that would explain enough of the other crashes.
+func (s *suspect) add(l registry.Lifetime, at unit.Moment) {
+	if s.separate == 0 || at.Sub(s.begin) >= simultaneity {
+		s.separate, s.begin = s.separate+1, at
+	}
+	s.lifetimes, s.newest = append(s.lifetimes, l), at
+}
+
+// update determines the causes again if the evidence has changed: first among the parts that were never answered, then for the crashes that
+// are left among those that were.
 func (r *Register) update() {
 	if !r.outdated {
 		return
@@ -27,34 +35,32 @@
 	r.outdated = false
 	clear(r.causes)
 	clear(r.explained)
-	var times []unit.Moment
-	for _, c := range r.crashes {
-		times = append(times, c.at)
+	lifetimes := slices.SortedFunc(maps.Keys(r.crashes), func(a, b registry.Lifetime) int {
+		return cmp.Or(cmp.Compare(r.crashes[a].at, r.crashes[b].at), cmp.Compare(a.Endpoint, b.Endpoint), cmp.Compare(a.Born, b.Born))
+	})
+	all := suspect{}
+	for _, l := range lifetimes {
+		all.add(l, r.crashes[l].at)
 	}
-	if countSeparate(times) < CrashesNeeded {
+	if all.separate < CrashesNeeded {
 		return
 	}
-	for {
-		best, ok := r.mostLikely()
-		if !ok {
-			return
-		}
-		for _, l := range best.lifetimes {
-			r.explained[l] = true
-		}
-		r.causes[best.id] = Cause{Part: best.id, Crashes: len(best.lifetimes), Until: best.newest.Add(blockDuration + r.extraBlockTime)}
-	}
+	r.findCauses(lifetimes, false, CrashesNeeded)
+	lifetimes = slices.DeleteFunc(lifetimes, func(l registry.Lifetime) bool { return r.explained[l] })
+	r.findCauses(lifetimes, true, answeredCrashesNeeded)
 }
 
-// mostLikely returns the part that most likely caused crashes which aren't explained yet, or false if no part caused enough of them.
-func (r *Register) mostLikely() (suspect, bool) {
+// findCauses goes through crashes in order of time. A crash that no cause explains gets the most likely of its parts as another cause, if
+// enough crashes count against it. The causes found before stay: two parts that crashed engines together can't be told from one of them
+// alone. Only the parts that were answered before, or only those that weren't, are considered.
+func (r *Register) findCauses(lifetimes []registry.Lifetime, answered bool, needed int) {
 	suspects := map[PartID]*suspect{}
-	for l, c := range r.crashes {
-		if r.explained[l] {
-			continue
-		}
+	var found []*suspect
+	for _, l := range lifetimes {
+		c := r.crashes[l]
+		var best *suspect
 		for id, p := range c.parts {
-			if !r.holds(c, id) {
+			if !r.holds(c, id) || r.answeredBefore(p) != answered {
 				continue
 			}
 			s := suspects[id]
@@ -62,33 +68,34 @@
 				s = &suspect{id: id, position: p.Position}
 				suspects[id] = s
 			}
-			s.lifetimes, s.times, s.newest = append(s.lifetimes, l), append(s.times, c.at), max(s.newest, c.at)
-			if a := r.served[id]; a != nil && a.weights >= p.Weights {
-				s.served = true
+			s.add(l, c.at)
+			if s.separate >= needed && (best == nil || compareSuspects(s, best) < 0) {
+				best = s
 			}
 		}
-	}
-	var best *suspect
-	for _, s := range suspects {
-		if countSeparate(s.times) >= CrashesNeeded && (best == nil || compareSuspects(s, best) < 0) {
-			best = s
+		if r.explained[l] = r.supportsBlock(c); r.explained[l] || best == nil {
+			continue
+		}
+		r.causes[best.id] = Cause{Part: best.id}
+		found = append(found, best)
+		for _, earlier := range best.lifetimes {
+			r.explained[earlier] = true
 		}
 	}
-	if best == nil {
-		return suspect{}, false
+	for _, s := range found {
+		r.causes[s.id] = Cause{Part: s.id, Crashes: len(s.lifetimes), Until: s.newest.Add(blockDuration + r.extraBlockTime)}
 	}
-	return *best, true
 }
 
-// compareSuspects orders parts by how likely they are the cause. A part that was never answered goes before one that was; a part that
-// stands later in prompts goes before the parts that it always follows.
+// answeredBefore reports whether a request with the part has been answered on the weights of the crash or newer ones, at any time.
+func (r *Register) answeredBefore(p Part) bool {
+	a := r.served[p.ID]
+	return a != nil && a.weights >= p.Weights
+}
+
+// compareSuspects orders parts by how likely they are the cause. A part that stands later in prompts goes before the parts that it always
+// follows.
 func compareSuspects(a, b *suspect) int {
-	if a.served != b.served {
-		if a.served {
-			return 1
-		}
-		return -1
-	}
 	return cmp.Or(cmp.Compare(len(b.lifetimes), len(a.lifetimes)), cmp.Compare(b.position, a.position), cmp.Compare(a.id, b.id))
 }
 
@@ -106,11 +113,9 @@
 // countSeparate counts moments; those within simultaneity of the first one of a group count once.
 func countSeparate(times []unit.Moment) int {
 	slices.Sort(times)
-	count, begin := 0, unit.Moment(0)
+	var all suspect
 	for _, at := range times {
-		if count == 0 || at.Sub(begin) >= simultaneity {
-			count, begin = count+1, at
-		}
+		all.add(registry.Lifetime{}, at)
 	}
-	return count
+	return all.separate
 }
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,8 @@
 const (
 	// CrashesNeeded is the number of crashes without a complete answer since the first of them after which a part is blocked.
 	CrashesNeeded = 3
+	// answeredCrashesNeeded is the number for a part that was answered before these crashes: it is a cause only if it has become one.
+	answeredCrashesNeeded = 4
 	// suspectCrashes is the number of such crashes from which a request with the part isn't sent again after a failed attempt.
 	suspectCrashes = 2
 	// simultaneity is the time within which crashes count once: engines that go down together have another common cause than a
@@ -28,8 +31,9 @@
 	// blockSpread, so that the host that tries the part first can report another crash before the others do.
 	blockDuration, blockSpread = 2 * time.Hour, 30 * time.Minute
 	retention                  = 3 * blockDuration
-	// maxCrashes limits the remembered crashes, maxParts the parts of each of them.
-	maxCrashes, maxParts = 128, 512
+	// maxCrashes limits the remembered crashes, maxParts the parts of each of them. evictedCrashes are removed at once when there are
+	// more, since the choice takes long.
+	maxCrashes, maxParts, evictedCrashes = 128, 512, 16
 	// maxRecentParts limits the parts that are remembered as served.
 	maxRecentParts = 16_384
 	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
@@ -351,24 +355,24 @@
 	*lastChange = change{r.number, now}
 }
 
-// evictExcess makes room after a crash was added, by removing the oldest crash that doesn't support a block.
+// evictExcess makes room if there are too many crashes, by removing the oldest ones that don't support a block. The added crash stays.
 func (r *Register) evictExcess(added registry.Lifetime) {
 	if len(r.crashes) <= maxCrashes {
 		return
 	}
 	r.update()
-	var oldest registry.Lifetime
-	var oldestRank [2]int64
+	support := map[registry.Lifetime]int{}
 	for l, c := range r.crashes {
-		rank := [2]int64{0, int64(c.at)}
-		if r.supportsBlock(c) {
-			rank[0] = 1
-		}
-		if l != added && (oldest == (registry.Lifetime{}) || slices.Compare(rank[:], oldestRank[:]) < 0) {
-			oldest, oldestRank = l, rank
+		if l == added || r.supportsBlock(c) {
+			support[l] = 1
 		}
 	}
-	r.remove(oldest)
+	lifetimes := slices.SortedFunc(maps.Keys(r.crashes), func(a, b registry.Lifetime) int {
+		return cmp.Or(cmp.Compare(support[a], support[b]), cmp.Compare(r.crashes[a].at, r.crashes[b].at))
+	})
+	for _, l := range lifetimes[:evictedCrashes] {
+		r.remove(l)
+	}
 }
 
 func (r *Register) supportsBlock(c *crash) bool {
