Don't blame parts that were answered before while nothing is answered

Cause: while all replicas go down again and again, nothing is answered, so that every part that is popular stands in four separate crashes without an answer. Change: a part that was answered before is blamed only for crashes of which at least half of such parts have been answered since. part-blocked says whether the part was answered before. Evidence: the test case "many parts that were answered until all engines went down again and again" fails before.

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -253,7 +253,7 @@
 		blocked[c.Part] = struct{}{}
 		if _, known := h.blockedParts[c.Part]; !known {
 			partsBlocked.Inc()
-			h.Log.Warn("part-blocked", "part", fmt.Sprintf("%016x", uint64(c.Part)), "crashes", c.Crashes, "for-ms", c.Until.Sub(now).Milliseconds())
+			h.Log.Warn("part-blocked", "part", fmt.Sprintf("%016x", uint64(c.Part)), "crashes", c.Crashes, "answered-before", c.AnsweredBefore, "for-ms", c.Until.Sub(now).Milliseconds())
 		}
 	}
 	for id := range h.blockedParts {
--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -52,15 +52,17 @@
 
 // findCauses goes through crashes in order of time. A crash that no cause explains gets the most likely of its parts as another cause, if
 // enough crashes count against it. The causes found before stay: two parts that crashed engines together can't be told from one of them
-// alone. Only the parts that were answered before, or only those that weren't, are considered.
+// alone. Only the parts that were answered before, or only those that weren't, are considered; of the former, those that stayed without an
+// answer although others of the same crashes were answered since. While all engines are down, nothing is answered.
 func (r *Register) findCauses(lifetimes []registry.Lifetime, answered bool, needed int) {
 	suspects := map[PartID]*suspect{}
 	var found []*suspect
 	for _, l := range lifetimes {
 		c := r.crashes[l]
+		answersFlow := !answered || r.mostCleared(c)
 		var best *suspect
 		for id, p := range c.parts {
-			if !r.holds(c, id) || r.answeredBefore(p) != answered {
+			if !r.holds(c, id) || r.answeredBefore(p) != answered || !answersFlow {
 				continue
 			}
 			s := suspects[id]
@@ -83,10 +85,25 @@
 		}
 	}
 	for _, s := range found {
-		r.causes[s.id] = Cause{Part: s.id, Crashes: len(s.lifetimes), Until: s.newest.Add(blockDuration + r.extraBlockTime)}
+		r.causes[s.id] = Cause{Part: s.id, Crashes: len(s.lifetimes), AnsweredBefore: answered, Until: s.newest.Add(blockDuration + r.extraBlockTime)}
 	}
 }
 
+// mostCleared reports whether at least half of the parts of a crash that were answered before it have been answered since.
+func (r *Register) mostCleared(c *crash) bool {
+	before, since := 0, 0
+	for id, p := range c.parts {
+		if !r.answeredBefore(p) {
+			continue
+		}
+		before++
+		if !r.holds(c, id) {
+			since++
+		}
+	}
+	return 2*since >= before
+}
+
 // answeredBefore reports whether a request with the part has been answered on the weights of the crash or newer ones, at any time.
 func (r *Register) answeredBefore(p Part) bool {
 	a := r.served[p.ID]
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -114,7 +114,9 @@
 type Cause struct {
 	Part    PartID
 	Crashes int // crashes that it explains
-	Until   unit.Moment
+	// AnsweredBefore is set if requests with the part were answered before these crashes.
+	AnsweredBefore bool
+	Until          unit.Moment
 }
 
 // New returns an empty register. The draw is a random number in [0, 1) that sets the host's end of a block within blockSpread.
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -77,6 +77,22 @@
 				r.RecordServed(at(time.Duration(2*i+2)*time.Second), prompt(first))
 			}
 		}, blocked: []PartID{deadly}},
+		{name: "many parts that were answered until all engines went down again and again", run: func(r *Register) {
+			parts := prompt(first, subject, other, 5, 6, 7)
+			r.RecordServed(0, parts)
+			for i := range 9 {
+				crashAt(r, i, time.Duration(i+1)*time.Second, parts...)
+			}
+			r.RecordServed(at(9500*time.Millisecond), prompt(first))
+		}},
+		{name: "the one of them that isn't answered when the others are again", run: func(r *Register) {
+			parts := prompt(first, subject, other, 5, 6, 7)
+			r.RecordServed(0, parts)
+			for i := range 4 {
+				crashAt(r, i, time.Duration(i+1)*time.Second, parts...)
+			}
+			r.RecordServed(at(9500*time.Millisecond), append(parts[:2:2], parts[3:]...))
+		}, blocked: []PartID{other}},
 		{name: "answers on older weights clear nothing", run: func(r *Register) {
 			old, updated := prompt(deadly), prompt(deadly)
 			updated[0].Weights = 2
