Load tool: say poisoned, as the emulator does

The load tool called requests under which engines crash deadly, the emulated engines call them poisoned, the usual term. Measured: the tests of the load tool and of the workload pass.

--- a/internal/command/load/load.go
+++ b/internal/command/load/load.go
@@ -51,9 +51,9 @@
 			&cli.StringFlag{Name: "software", Usage: "software versions of the emulated engines, separated by commas, as --weights"},
 			&cli.StringFlag{Name: "limited-engines", Usage: "addresses of emulated engines, separated by commas, that name --request-limit meanwhile"},
 			&cli.FloatFlag{Name: "request-limit", Usage: "requests/s from all hosts together", Value: 1},
-			&cli.FloatFlag{Name: "deadly-share", Usage: "share of the chat requests that get a message with --deadly-text"},
-			&cli.StringFlag{Name: "deadly-text", Usage: "contains the --poison text of emulated engines"},
-			&cli.StringFlag{Name: "deadly-engines", Usage: "addresses of emulated engines, separated by commas, whose crashes are reported"},
+			&cli.FloatFlag{Name: "poison-share", Usage: "share of the chat requests that get a message with --poison-text"},
+			&cli.StringFlag{Name: "poison-text", Usage: "contains the --poison text of emulated engines"},
+			&cli.StringFlag{Name: "poison-engines", Usage: "addresses of emulated engines, separated by commas, whose crashes are reported"},
 			&cli.StringFlag{Name: "plot", Usage: "file (.svg or .png) for a plot of the token hit rate over time"},
 		},
 		Action: run,
@@ -74,11 +74,11 @@
 	if err := load.SetRequestLimit(ctx, limited, c.Float("request-limit")); err != nil {
 		return err
 	}
-	var deadly []string
-	if addresses := c.String("deadly-engines"); addresses != "" {
-		deadly = strings.Split(addresses, ",")
+	var poisoned []string
+	if addresses := c.String("poison-engines"); addresses != "" {
+		poisoned = strings.Split(addresses, ",")
 	}
-	crashed, err := load.Crashes(ctx, deadly)
+	crashed, err := load.Crashes(ctx, poisoned)
 	if err != nil {
 		return err
 	}
@@ -86,10 +86,10 @@
 	if err != nil {
 		return err
 	}
-	if report.Deadly.Crashes, err = load.Crashes(ctx, deadly); err != nil {
+	if report.Poisoned.Crashes, err = load.Crashes(ctx, poisoned); err != nil {
 		return err
 	}
-	report.Deadly.Crashes -= crashed
+	report.Poisoned.Crashes -= crashed
 	if report.LimitedEngines, err = load.RequestsUnderLimit(ctx, limited); err != nil {
 		return err
 	}
@@ -122,8 +122,8 @@
 	if c.Int("bytes-per-token") < 1 || c.Int("piece-tokens") < 1 {
 		return nil, fault.BadSetting.New("--bytes-per-token and --piece-tokens must be above 0")
 	}
-	if share := c.Float("deadly-share"); share < 0 || share > 1 || share > 0 && c.String("deadly-text") == "" {
-		return nil, fault.BadSetting.New("--deadly-share must be between 0 and 1, and above 0 it needs --deadly-text")
+	if share := c.Float("poison-share"); share < 0 || share > 1 || share > 0 && c.String("poison-text") == "" {
+		return nil, fault.BadSetting.New("--poison-share must be between 0 and 1, and above 0 it needs --poison-text")
 	}
 	s.Hour = c.Duration("hour")
 	text := shape.Text{BytesPerToken: c.Int("bytes-per-token"), PieceTokens: unit.Tokens(c.Int("piece-tokens"))}
@@ -139,8 +139,8 @@
 		}
 		o.Expect = func(r shape.Request) []string { return EmulatedAnswers(r, weights, versions...) }
 	}
-	if share := c.Float("deadly-share"); share > 0 {
-		o.Workload.AddDeadly(c.String("deadly-text"), share)
+	if share := c.Float("poison-share"); share > 0 {
+		o.Workload.AddPoison(c.String("poison-text"), share)
 	}
 	return load.New(o), nil
 }
--- a/internal/measure/load/generator.go
+++ b/internal/measure/load/generator.go
@@ -60,7 +60,7 @@
 	FirstToken, Total                     time.Duration
 	PromptTokens, CachedTokens, NewTokens unit.Tokens
 	Customer                              unit.CustomerID
-	Deadly                                bool // as in shape.Request
+	Poisoned                              bool // as in shape.Request
 }
 
 // New returns a generator.
@@ -110,7 +110,7 @@
 }
 
 func (g *Generator) send(ctx context.Context, target string, r shape.Request, due time.Time) Sample {
-	sample := Sample{At: r.At, Call: r.Call, Customer: r.Customer, PromptTokens: r.PromptTokens, NewTokens: r.NewTokens, Deadly: r.Deadly}
+	sample := Sample{At: r.At, Call: r.Call, Customer: r.Customer, PromptTokens: r.PromptTokens, NewTokens: r.NewTokens, Poisoned: r.Poisoned}
 	response, err := g.post(ctx, target, r)
 	if err != nil {
 		sample.Code = codeUnreachable
--- a/internal/measure/load/load_test.go
+++ b/internal/measure/load/load_test.go
@@ -123,9 +123,9 @@
 	assert.Assert(t, errorx.IsOfType(load.SetRequestLimit(t.Context(), []string{"127.0.0.1:1"}, 1), fault.Unreachable))
 }
 
-// Guards against crashes of emulated engines that aren't counted, and against a deadly prompt that leaves its engine up.
-func TestCrashesUnderADeadlyPromptAreCounted(t *testing.T) {
-	e := engine.New(engine.Options{Listen: "127.0.0.1:0", Endpoint: "e", PoisonMarker: "deadly", TimeScale: 0.001, RestartDelay: time.Millisecond})
+// Guards against crashes of emulated engines that aren't counted, and against a poisoned prompt that leaves its engine up.
+func TestCrashesUnderAPoisonedPromptAreCounted(t *testing.T) {
+	e := engine.New(engine.Options{Listen: "127.0.0.1:0", Endpoint: "e", PoisonMarker: "poisoned", TimeScale: 0.001, RestartDelay: time.Millisecond})
 	ctx, stop := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
 	go func() { ended <- e.Run(ctx) }()
@@ -135,7 +135,7 @@
 	}()
 	engines := []string{e.Address()}
 	poll.WaitOn(t, func(poll.LogT) poll.Result { // the engine loads its weights first
-		response, err := http.Post("http://"+e.Address()+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"a deadly b","max_tokens":1}`))
+		response, err := http.Post("http://"+e.Address()+"/v1/completions", "application/json", strings.NewReader(`{"prompt":"a poisoned b","max_tokens":1}`))
 		if err != nil {
 			return poll.Success()
 		}
--- a/internal/measure/load/report.go
+++ b/internal/measure/load/report.go
@@ -45,8 +45,8 @@
 	first, refusal *hdrhistogram.Histogram
 }
 
-// DeadlyRequests counts the requests with a part in their prompts that crashes engines.
-type DeadlyRequests struct {
+// PoisonedRequests counts the requests with a part in their prompts that crashes engines.
+type PoisonedRequests struct {
 	Sent    int `json:"sent"`
 	Refused int `json:"refused"`
 	Crashes int `json:"crashes"` // of emulated engines, during the run
@@ -68,8 +68,8 @@
 	Wrong        int         `json:"wrong"`  // incomplete, tokens out of order, or unexpected text
 	PromptTokens unit.Tokens `json:"prompt-tokens"`
 	CachedTokens unit.Tokens `json:"cached-tokens"`
-	// Deadly counts the requests with a deadly part. They count nowhere else.
-	Deadly DeadlyRequests `json:"deadly"`
+	// Poisoned counts the requests with a part that crashes engines. They count nowhere else.
+	Poisoned PoisonedRequests `json:"poisoned"`
 	// UnavoidableTokens are the prompt tokens of complete requests that no cache could hold.
 	UnavoidableTokens unit.Tokens `json:"unavoidable-tokens"`
 	// HitRate is the ratio of cached to prompt tokens. BestHitRate is the hit rate that an unlimited cache shared by all
@@ -163,10 +163,10 @@
 func (r *Report) count() {
 	groups := map[string]*Group{}
 	for _, s := range r.samples {
-		if s.Deadly {
-			r.Deadly.Sent++
+		if s.Poisoned {
+			r.Poisoned.Sent++
 			if s.Refused {
-				r.Deadly.Refused++
+				r.Poisoned.Refused++
 			}
 			continue
 		}
@@ -256,8 +256,8 @@
 			g.FirstToken.P50, g.FirstToken.P95, g.FirstToken.P99, g.FirstToken.Max, g.Refusal.P99, g.Codes)
 	}
 	_ = w.Flush()
-	if d := r.Deadly; d.Sent > 0 {
-		_, _ = fmt.Fprintf(to, "requests with a deadly part: %d sent, %d refused; %d crashes of engines\n", d.Sent, d.Refused, d.Crashes)
+	if d := r.Poisoned; d.Sent > 0 {
+		_, _ = fmt.Fprintf(to, "requests with a part that crashes engines: %d sent, %d refused; %d crashes of engines\n", d.Sent, d.Refused, d.Crashes)
 	}
 	for _, e := range r.LimitedEngines {
 		_, _ = fmt.Fprintf(to, "limited engine %s: %d requests in 4 s at most\n", e.Address, e.MostIn4s)
--- a/internal/measure/shape/shape_test.go
+++ b/internal/measure/shape/shape_test.go
@@ -37,30 +37,30 @@
 	}
 }
 
-// Guards against deadly messages that stand last, where no other request shares them, and against other requests that change with them.
-func TestDeadlyMessagesAreAddedToAShareOfTheChatRequests(t *testing.T) {
+// Guards against poisoned messages that stand last, where no other request shares them, and against other requests that change with them.
+func TestPoisonedMessagesAreAddedToAShareOfTheChatRequests(t *testing.T) {
 	workload := func() *shape.Workload {
 		return shape.New(shape.Shapes[0], 7, 100, shape.Text{BytesPerToken: 4, PieceTokens: 2000})
 	}
-	plain, deadly := workload(), workload()
-	deadly.AddDeadly("deadly", 0.3)
+	plain, poisoned := workload(), workload()
+	poisoned.AddPoison("poisoned", 0.3)
 	chats, added := 0, 0
 	for range 500 {
 		want, err := plain.Next()
 		assert.NilError(t, err)
-		got, err := deadly.Next()
+		got, err := poisoned.Next()
 		assert.NilError(t, err)
 		if want.Call.Model && want.Call.Chat {
 			chats++
 		}
-		if !got.Deadly {
+		if !got.Poisoned {
 			assert.Equal(t, string(got.Body), string(want.Body))
 			continue
 		}
 		added++
 		last := len(got.Messages) - 1
 		assert.DeepEqual(t, slices.Delete(slices.Clone(got.Messages), last-1, last), want.Messages)
-		assert.Equal(t, got.Messages[last-1].Content, "deadly")
+		assert.Equal(t, got.Messages[last-1].Content, "poisoned")
 	}
 	assert.Assert(t, chats > 100 && added > chats/5 && added < chats/2, "%d of %d", added, chats)
 }
--- a/internal/measure/shape/workload.go
+++ b/internal/measure/shape/workload.go
@@ -37,8 +37,8 @@
 	// last, partial piece and those of pieces that no earlier request of the workload contained.
 	PromptTokens, NewTokens unit.Tokens
 	AnswerTokens            int
-	// Deadly is set if a message of the prompt crashes engines, see Workload.AddDeadly.
-	Deadly bool
+	// Poisoned is set if a message of the prompt crashes engines, see Workload.AddPoison.
+	Poisoned bool
 }
 
 // Message is one part of a prompt.
@@ -63,9 +63,9 @@
 	rampFactor float64
 	rampUntil  time.Duration
 
-	deadlyText   string
-	deadlyShare  float64
-	deadlyRandom *rand.Rand // apart from random, so that the other requests stay the same
+	poisonText   string
+	poisonShare  float64
+	poisonRandom *rand.Rand // apart from random, so that the other requests stay the same
 }
 
 // New returns a workload of rate requests/s on average, with exponentially distributed times between requests.
@@ -86,10 +86,10 @@
 	w.rampFactor, w.rampUntil = factor, until
 }
 
-// AddDeadly adds a message with the given text, between messages that other requests share and the question, to a share of the chat
+// AddPoison adds a message with the given text, between messages that other requests share and the question, to a share of the chat
 // requests. Emulated engines whose poison marker is in the text crash under them.
-func (w *Workload) AddDeadly(text string, share float64) {
-	w.deadlyText, w.deadlyShare, w.deadlyRandom = text, share, rand.New(rand.NewPCG(w.seed, 0xdead))
+func (w *Workload) AddPoison(text string, share float64) {
+	w.poisonText, w.poisonShare, w.poisonRandom = text, share, rand.New(rand.NewPCG(w.seed, 0xdead))
 }
 
 // Next returns the next request. It fails with fault.Internal if the body can't be encoded.
@@ -139,9 +139,9 @@
 		{Role: "user", Content: w.generatedText(customer.ID, subject, w.subjectTokens(customer.ID, subject))},
 		{Role: "user", Content: w.randomQuestion()},
 	}
-	if r.Call.Chat && w.deadlyShare > 0 && w.deadlyRandom.Float64() < w.deadlyShare {
-		r.Deadly = true
-		r.Messages = slices.Insert(r.Messages, len(r.Messages)-1, Message{Role: "user", Content: w.deadlyText})
+	if r.Call.Chat && w.poisonShare > 0 && w.poisonRandom.Float64() < w.poisonShare {
+		r.Poisoned = true
+		r.Messages = slices.Insert(r.Messages, len(r.Messages)-1, Message{Role: "user", Content: w.poisonText})
 	}
 	texts := make([]string, 0, len(r.Messages))
 	for _, m := range r.Messages {
