Don't send a request again once its crash has blocked one of its parts

Cause: Suspects looks at the crashes that no blocked part explains. The crash that makes a suspected part a blocked one leaves none of them, so that the part stopped being suspect at that moment. `citronglade host` checks blocks only at admission and relied on Suspects before further attempts. The hosts of the platform check blocks before each attempt.

Change: a blocked part is suspect, also in the moment after its block has ended, when one crash more blocks it again.

Evidence: TestABlockedPartIsSuspectToo fails before.

--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -158,15 +158,15 @@
 	return Cause{}, false
 }
 
-// Suspects reports whether one of the parts may have caused at least two crashes, so that a request with it shouldn't be sent to
-// another engine after a failed attempt.
+// Suspects reports whether one of the parts is blocked or may have caused at least two crashes, so that a request with it shouldn't be
+// sent to another engine after a failed attempt.
 func (r *Register) Suspects(parts []PartID) bool {
 	if len(r.crashes) == 0 {
 		return false
 	}
 	r.update()
 	for _, id := range parts {
-		if countSeparate(r.unexplainedCrashes(id)) >= suspectCrashes {
+		if _, blocked := r.causes[id]; blocked || countSeparate(r.unexplainedCrashes(id)) >= suspectCrashes {
 			return true
 		}
 	}
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -153,6 +153,18 @@
 	assert.Assert(t, !r.Suspects([]PartID{first}), "the other part explains the crashes")
 }
 
+// Guards against a second attempt of the request whose first attempt was the crash that blocked one of its parts.
+func TestABlockedPartIsSuspectToo(t *testing.T) {
+	r := New(0)
+	for i := range CrashesNeeded {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, deadly))
+	}
+	assert.Assert(t, r.Suspects([]PartID{first, deadly}))
+	again := at(2*time.Second + blockDuration)
+	r.RecordCrash(again, lifetime(9), prompt(first, deadly))
+	assert.Assert(t, r.Suspects([]PartID{deadly}), "after a block, one crash more suffices")
+}
+
 // Guards against hosts that block different parts although they know of the same events, and against a host that learns that a part
 // crashes engines and doesn't say that it has answered requests with it.
 func TestHostsWithTheSameNoticesBlockTheSameParts(t *testing.T) {
