Scenario poison_message waits for the engines and hosts that it speaks of

Change: the script waits until the hosts know the engines' current incarnations, and resends a request until each host refuses it, as poison_request does. As strict as before: new requests with the message are then refused by each host at the first attempt, as not run, and all of it may crash five engines at most.

--- a/test/scenarios/expect_test.go
+++ b/test/scenarios/expect_test.go
@@ -28,6 +28,7 @@
 	"unready":     func(s *scenario, ts *testscript.TestScript, args []string, _ options) { s.expectReady(ts, args, false) },
 	"usable":      (*scenario).expectUsable,
 	"endpoint":    (*scenario).expectEndpoint,
+	"current":     (*scenario).expectCurrent,
 	"busy":        (*scenario).expectEndpointRequests,
 	"load":        (*scenario).expectHostRequests,
 	"settled":     (*scenario).expectSettled,
@@ -153,6 +154,28 @@
 	})
 }
 
+// expectCurrent ID,ID... waits until every host knows the engines as usable in their current incarnations.
+func (s *scenario) expectCurrent(ts *testscript.TestScript, args []string, named options) {
+	s.waitWithin(ts, named, "the current incarnations of "+args[0], func() error {
+		for id := range strings.SplitSeq(args[0], ",") {
+			engine, err := s.engineState(id)
+			if err != nil {
+				return err
+			}
+			for _, host := range s.hosts(named) {
+				known, err := s.firstEndpointIn(host, id, "usable")
+				if err != nil {
+					return err
+				}
+				if known.Incarnation != engine.Incarnation {
+					return fault.Conflict.New("%s knows %s in incarnation %d, not %d", host.Name, id, known.Incarnation, engine.Incarnation)
+				}
+			}
+		}
+		return nil
+	})
+}
+
 // firstEndpointIn returns the first of the endpoints (ID|ID...) that a host reports in one of the states (STATE|STATE...).
 func (s *scenario) firstEndpointIn(host *driver.Host, ids, states string) (endpoint operators.EndpointStatus, err error) {
 	for id := range strings.SplitSeq(ids, "|") {
@@ -365,8 +388,9 @@
 }
 
 type engineState struct {
-	Weights string `json:"weights-version"`
-	Loading bool   `json:"loading"`
+	Incarnation unit.Incarnation `json:"incarnation"`
+	Weights     string           `json:"weights-version"`
+	Loading     bool             `json:"loading"`
 }
 
 func (s *scenario) engineState(id string) (engineState, error) {
@@ -394,10 +418,16 @@
 	})
 }
 
-// expectQuarantined HOST resends the request that crashes engines until the host refuses it as quarantined.
-func (s *scenario) expectQuarantined(ts *testscript.TestScript, args []string, _ options) {
+// expectQuarantined HOST [PATH body=BODY] resends a request that crashes engines until the host refuses it as quarantined.
+func (s *scenario) expectQuarantined(ts *testscript.TestScript, args []string, named options) {
+	path := "/v1/completions"
+	if len(args) > 1 {
+		path = args[1]
+	} else {
+		named = options{"body": `{"model":"taalmodel","prompt":"VERGIF","max_tokens":9}`}
+	}
 	s.wait(ts, "a quarantine on "+args[0], func() error {
-		p := s.send(ts, args[0], "/v1/completions", options{"body": `{"model":"taalmodel","prompt":"VERGIF","max_tokens":9}`})
+		p := s.send(ts, args[0], path, named)
 		<-p.done
 		if p.err == nil && p.answer.Code != "quarantined" {
 			return fault.Conflict.New("status %d: %s", p.answer.Status, p.answer.Body)
