Keep a deadly part blocked when a later notice shows another part in more crashes

Cause: a host decides anew with each notice. A notice that completes a crash by harmless parts, which other hosts had in it, makes one of these the part with most crashes. It then explains the crashes of the deadly part, which is let go although it still has enough crashes against it. In the other direction, hosts that got the same notices in another order disagreed.

Change: the decision to block a part that was never answered is a notice itself. It holds on all hosts until the part is answered, as long as enough crashes count against it. Answers on newer evidence, restarts and the end of a block work as before.

Evidence: TestABlockedPartStaysBlockedWhenMoreIsKnownOfItsCrashes fails without it; hosts with the same notices still block the same parts (TestHostsWithTheSameNoticesBlockTheSameParts).

--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -57,6 +57,9 @@
 func (r *Register) findCauses(lifetimes []registry.Lifetime, answered bool, needed int) {
 	suspects := map[PartID]*suspect{}
 	var found []*suspect
+	if !answered {
+		found = r.blockedSuspects(lifetimes)
+	}
 	for _, l := range lifetimes {
 		c := r.crashes[l]
 		answersFlow := !answered || r.mostCleared(c)
@@ -80,6 +83,9 @@
 		}
 		r.causes[best.id] = Cause{Part: best.id}
 		found = append(found, best)
+		if !answered {
+			r.addBlock(best.id, c.at)
+		}
 		for _, earlier := range best.lifetimes {
 			r.explained[earlier] = true
 		}
@@ -89,6 +95,29 @@
 	}
 }
 
+// blockedSuspects returns the parts that were blocked before and haven't been answered since, with the crashes that count against them, and
+// makes them causes. Without enough of these crashes, as on a host that has just started, a part isn't blocked yet.
+func (r *Register) blockedSuspects(lifetimes []registry.Lifetime) []*suspect {
+	var blocked []*suspect
+	for id, b := range r.blocks {
+		if a := r.served[id]; a != nil && a.at >= b.at {
+			delete(r.blocks, id)
+			continue
+		}
+		s := &suspect{id: id}
+		for _, l := range lifetimes {
+			if c := r.crashes[l]; r.holds(c, id) {
+				s.add(l, c.at)
+			}
+		}
+		if s.separate >= CrashesNeeded {
+			r.causes[id] = Cause{Part: id}
+			blocked = append(blocked, s)
+		}
+	}
+	return blocked
+}
+
 // mostCleared reports whether at least half of the parts of a crash that were answered before it have been answered since.
 func (r *Register) mostCleared(c *crash) bool {
 	before, since := 0, 0
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -36,6 +36,8 @@
 	maxCrashes, maxParts, evictedCrashes = 128, 512, 16
 	// maxRecentParts limits the parts that are remembered as served.
 	maxRecentParts = 16_384
+	// maxBlocks limits the remembered decisions to block a part.
+	maxBlocks = 4096
 	// maxUpdateParts limits the parts in an update. One more crash may exceed it.
 	maxUpdateParts = 256
 	// recentTime is the age of the changes that Recent returns.
@@ -58,13 +60,15 @@
 	Weights  decisions.WeightsNumber // of the prompt's model at the engine
 }
 
-// Notice is an event that hosts report to each other: a crash, or complete answers.
+// Notice is an event that hosts report to each other: a crash, complete answers, or the decision to block parts.
 type Notice struct {
-	// Lifetime is the lifetime of the engine that crashed, empty in a notice of complete answers.
+	// Lifetime is the lifetime of the engine that crashed, empty in other notices.
 	Lifetime registry.Lifetime `cbor:"1,keyasint,omitzero"`
-	// Parts are the parts of the requests that broke off with the engine, or the parts that were answered.
-	Parts []Part        `cbor:"2,keyasint"`
-	Age   time.Duration `cbor:"3,keyasint"` // time since the crash was noticed, or since the last answer
+	// Parts are the parts of the requests that broke off with the engine, the parts that were answered, or those that are blocked.
+	Parts []Part `cbor:"2,keyasint"`
+	// Age is the time since the crash was noticed, since the last answer, or since the crash for which the parts are blocked.
+	Age     time.Duration `cbor:"3,keyasint"`
+	Blocked bool          `cbor:"4,keyasint,omitempty"` // the parts are blocked
 }
 
 // Update contains the changes of a register that a peer hasn't received yet.
@@ -78,7 +82,8 @@
 type Register struct {
 	extraBlockTime time.Duration
 	crashes        map[registry.Lifetime]*crash
-	served         map[PartID]*answer                    // of the parts that stand in crashes
+	served         map[PartID]*answer // of the parts that stand in crashes
+	blocks         map[PartID]*block
 	recent         *simplelru.LRU[PartID, answerVersion] // complete answers, also to parts that stand in no crash
 	causes         map[PartID]Cause
 	explained      map[registry.Lifetime]bool // crashes of causes
@@ -110,6 +115,13 @@
 	lastChange change
 }
 
+// block is the decision to block a part that was never answered. It holds until the part is answered: a host that doesn't know all parts of
+// a crash yet may otherwise let a deadly part go, because another one explains more crashes.
+type block struct {
+	at         unit.Moment // of the crash that led to it
+	lastChange change
+}
+
 // Cause is a part that is blocked because it explains crashes.
 type Cause struct {
 	Part    PartID
@@ -124,7 +136,7 @@
 	recent, _ := simplelru.NewLRU[PartID, answerVersion](maxRecentParts, nil) // fails only for a size below 1
 	return &Register{
 		extraBlockTime: time.Duration(draw * float64(blockSpread)), crashes: map[registry.Lifetime]*crash{}, served: map[PartID]*answer{},
-		recent: recent, causes: map[PartID]Cause{}, explained: map[registry.Lifetime]bool{},
+		blocks: map[PartID]*block{}, recent: recent, causes: map[PartID]Cause{}, explained: map[registry.Lifetime]bool{},
 	}
 }
 
@@ -144,8 +156,8 @@
 	}
 }
 
-// Check returns the cause of crashes among the parts, if one of them is blocked.
-func (r *Register) Check(now unit.Moment, parts []PartID) (Cause, bool) {
+// Check returns a cause of crashes among the parts, if one of them is blocked. It is doubtful only if it is the only one.
+func (r *Register) Check(now unit.Moment, parts []PartID) (cause Cause, blocked bool) {
 	if len(r.crashes) == 0 {
 		return Cause{}, false
 	}
@@ -248,6 +260,11 @@
 			changes = append(changes, numberedNotice{a.lastChange, Notice{Parts: []Part{{ID: id, Weights: a.weights}}, Age: now.Sub(a.at)}})
 		}
 	}
+	for id, b := range r.blocks {
+		if b.lastChange.number > number {
+			changes = append(changes, numberedNotice{b.lastChange, Notice{Parts: []Part{{ID: id}}, Age: now.Sub(b.at), Blocked: true}})
+		}
+	}
 	slices.SortFunc(changes, func(a, b numberedNotice) int { return cmp.Compare(a.number, b.number) })
 	return changes
 }
@@ -271,6 +288,11 @@
 			continue
 		}
 		for _, p := range n.Parts {
+			if n.Blocked {
+				r.addBlock(p.ID, now.Add(-n.Age))
+				r.outdated = true
+				continue
+			}
 			v := answerVersion{p.Weights, now.Add(-n.Age)}
 			if known, ok := r.recent.Peek(p.ID); !ok || v.weights > known.weights || v.weights == known.weights && v.at > known.at {
 				r.recent.Add(p.ID, v) // the crash that the answer speaks to may not be known yet
@@ -333,6 +355,20 @@
 	r.recordChange(now, &known.lastChange)
 }
 
+// addBlock records the decision to block a part, for a crash at the given moment.
+func (r *Register) addBlock(id PartID, at unit.Moment) {
+	known := r.blocks[id]
+	if known == nil {
+		if len(r.blocks) >= maxBlocks {
+			return
+		}
+		known = &block{at: at}
+		r.blocks[id] = known
+		r.recordChange(at, &known.lastChange)
+	}
+	known.at = max(known.at, at)
+}
+
 func (r *Register) standsInCrash(id PartID) bool {
 	for _, c := range r.crashes {
 		if _, ok := c.parts[id]; ok {
@@ -386,13 +422,14 @@
 	return false
 }
 
-// remove removes a crash and the answers to parts that stand in no other crash.
+// remove removes a crash, and what is known of parts that stand in no other crash.
 func (r *Register) remove(l registry.Lifetime) {
 	parts := r.crashes[l].parts
 	delete(r.crashes, l)
 	for id := range parts {
 		if !r.standsInCrash(id) {
 			delete(r.served, id)
+			delete(r.blocks, id)
 		}
 	}
 	r.outdated = true
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -165,6 +165,34 @@
 	assert.Assert(t, r.Suspects([]PartID{deadly}), "after a block, one crash more suffices")
 }
 
+// Guards against letting a deadly part go when a notice shows that another part stood in more crashes, on this host and on those that hear of
+// it.
+func TestABlockedPartStaysBlockedWhenMoreIsKnownOfItsCrashes(t *testing.T) {
+	r, now := New(0), at(10*time.Second)
+	for i := range 3 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, deadly))
+	}
+	_, blocked := r.Check(now, []PartID{deadly})
+	assert.Assert(t, blocked)
+	r.RecordCrash(0, lifetime(9), prompt(first, subject))
+	for i := range 3 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, subject))
+	}
+	_, blocked = r.Check(now, []PartID{deadly})
+	assert.Assert(t, blocked)
+	heard := New(0)
+	heard.Merge(now, r.Export(now))
+	assert.DeepEqual(t, heard.Causes(now), r.Causes(now))
+	heard.RecordServed(now, prompt(first, subject, deadly))
+	r.Merge(now, heard.Export(now))
+	assert.Equal(t, len(r.Causes(now)), 0)
+	for i := range 3 {
+		r.RecordCrash(now.Add(time.Duration(i+1)*time.Second), lifetime(10+i), prompt(first, deadly, other))
+	}
+	_, blocked = r.Check(now.Add(4*time.Second), []PartID{deadly})
+	assert.Assert(t, !blocked, "an answer ended the decision, so that the later part is blamed")
+}
+
 // Guards against hosts that block different parts although they know of the same events, and against a host that learns that a part
 // crashes engines and doesn't say that it has answered requests with it.
 func TestHostsWithTheSameNoticesBlockTheSameParts(t *testing.T) {
