Try blocked parts that may be harmless, with one schedule for all hosts

Cause: a block ends by an answer or after two hours, and a blocked part gets no answer. So a wrong guess can't be found out.

Change: a blocked part is in doubt while other blocked parts explain so many of its crashes that it wouldn't be blocked for the rest. A host that gets a request in which only such a part is blocked asks the leader of the control hosts, which grants the trial of one request (routing/parttrial): of each part one at a time, two at most that crash an engine (the users allow three), after half a second without a crash, and 4 s later for each crash that only this part explains and for each other part of the request that may have caused crashes, so that harmless requests go first. An answer clears the part on all hosts. Without a leader there are no trials; a new leader waits until those of the earlier one are over. The content's own quarantine is checked first, so that no trial is wasted on it.

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -24,6 +24,7 @@
 	endpointsDown       = metrics.NewCounter("citronglade_endpoints_found_down_total")
 	contentsQuarantined = metrics.NewCounter("citronglade_contents_quarantined_total")
 	partsBlocked        = metrics.NewCounter("citronglade_prompt_parts_blocked_total")
+	partTrials          = metrics.NewCounter("citronglade_prompt_part_trials_total")
 )
 
 // contentDigest returns a digest of what an endpoint is asked: customer, method, host, path without its query, and body. The
@@ -89,24 +90,46 @@
 	return suspected
 }
 
-// checkParts fails with fault.Quarantined if a part of the request's prompt is blocked because it crashes endpoints.
-func (r *request) checkParts() error {
+// checkParts fails with fault.Quarantined if a part of the request's prompt is blocked because it crashes endpoints, unless this request is
+// to find out whether the part is harmless.
+func (r *request) checkParts(ctx context.Context) error {
 	var cause crashcause.Cause
 	blocked, now := false, r.h.Now()
 	r.h.WithCrashCauses(func(c *crashcause.Register) { cause, blocked = c.Check(now, r.parts) })
-	if !blocked {
+	if !blocked || r.mayTry(ctx, cause) {
 		return nil
 	}
 	return fault.Quarantined.New("part %016x of the prompt has crashed %d endpoints", uint64(cause.Part), cause.Crashes).
 		WithProperty(fault.RetryAfter, cause.Until.Sub(now))
 }
 
+// mayTry reports whether the request may be sent although a part of its prompt is blocked, because the part may be harmless.
+func (r *request) mayTry(ctx context.Context, cause crashcause.Cause) bool {
+	if !cause.Doubtful {
+		return false
+	}
+	if r.triedPart == nil || *r.triedPart != cause.Part {
+		if !r.h.TryPart(ctx, cause) {
+			return false
+		}
+		r.triedPart = &cause.Part
+		partTrials.Inc()
+		r.h.Log.Info("part-tried", "request", string(r.call.ID), "part", fmt.Sprintf("%016x", uint64(cause.Part)), "crashes", cause.Crashes,
+			"own-crashes", cause.OwnCrashes, "rivals", cause.Rivals, "last-crash-ms-ago", r.h.Now().Sub(cause.LastCrash).Milliseconds())
+	}
+	return true
+}
+
 // checkQuarantine fails with fault.Quarantined if the request's content or a part of its prompt is quarantined because it has crashed
 // endpoints.
-func (r *request) checkQuarantine() error {
-	if err := r.checkParts(); err != nil {
+func (r *request) checkQuarantine(ctx context.Context) error {
+	if err := r.checkContent(); err != nil {
 		return err
 	}
+	return r.checkParts(ctx)
+}
+
+func (r *request) checkContent() error {
 	empty := true
 	r.h.WithQuarantines(func(q *quarantine.Register) { empty = q.Empty() })
 	if empty {
@@ -253,7 +276,7 @@
 		blocked[c.Part] = struct{}{}
 		if _, known := h.blockedParts[c.Part]; !known {
 			partsBlocked.Inc()
-			h.Log.Warn("part-blocked", "part", fmt.Sprintf("%016x", uint64(c.Part)), "crashes", c.Crashes, "answered-before", c.AnsweredBefore, "for-ms", c.Until.Sub(now).Milliseconds())
+			h.Log.Warn("part-blocked", "part", fmt.Sprintf("%016x", uint64(c.Part)), "crashes", c.Crashes, "answered-before", c.AnsweredBefore, "doubtful", c.Doubtful, "for-ms", c.Until.Sub(now).Milliseconds())
 		}
 	}
 	for id := range h.blockedParts {
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -68,6 +68,9 @@
 	Assign      assign.Settings
 	// FindStream asks the control hosts where a stream began. It returns false if they don't know.
 	FindStream func(ctx context.Context, q streamorigin.Query) (streamorigin.Origin, bool)
+	// TryPart asks the leader of the control hosts whether one request in which only the part of this cause is blocked may be sent, to find
+	// out whether the part is harmless.
+	TryPart func(ctx context.Context, cause crashcause.Cause) bool
 	// MaxAnswerMemory limits the memory for buffered answers of all requests together, in bytes. 0 means 24 MiB.
 	MaxAnswerMemory int64
 }
@@ -174,6 +177,8 @@
 	body     []byte
 	digest   unit.Digest         // see contentDigest; zero until it is computed
 	parts    []crashcause.PartID // of the prompt, without its last part
+	// triedPart is the blocked part of the prompt that the request is to try, nil if there is none.
+	triedPart *crashcause.PartID
 	// probes counts the running probes of endpoints at which earlier attempts broke off.
 	probes   sync.WaitGroup
 	deadline unit.Moment
@@ -293,7 +298,7 @@
 // sendUntilAnswered sends the request until an endpoint has answered it or no further attempt is allowed.
 func (r *request) sendUntilAnswered(ctx context.Context) {
 	for {
-		if err := r.checkQuarantine(); err != nil {
+		if err := r.checkQuarantine(ctx); err != nil {
 			r.fail(ctx, err)
 			return
 		}
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -29,6 +29,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 	"github.com/citronglade/citronglade/internal/routing/streamorigin"
 )
@@ -180,7 +181,8 @@
 		FindStream: func(context.Context, streamorigin.Query) (streamorigin.Origin, bool) {
 			return streamorigin.Origin{}, false
 		},
-		Assign: assign.Settings{ReportSilence: time.Hour},
+		TryPart: func(context.Context, crashcause.Cause) bool { return false },
+		Assign:  assign.Settings{ReportSilence: time.Hour},
 	})
 	var known []registry.Endpoint
 	for i, e := range endpoints {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -77,6 +77,8 @@
 	pool       *exchange.Pool
 	table      atomic.Pointer[table.Table]
 	entryHosts atomic.Int64 // number of entry hosts, as reported by a control host
+	// leaderCaller sends questions to the leader of the control hosts.
+	leaderCaller *leader.Caller
 
 	mu             sync.Mutex
 	registry       *registry.Registry
@@ -95,6 +97,7 @@
 	// streamsSent is the number of the last record of a stream that the control host has; needsStreams says whether it needs them.
 	streamsSent   uint64
 	needsStreams  bool
+	trialAskedAt  unit.Moment // when the leader was last asked for a trial of a blocked part
 	connected     bool        // the last sync with a control host was successful
 	endpointsSeen atomic.Bool // at least one endpoint has been usable since the start
 
@@ -121,12 +124,12 @@
 func New(d Dependencies) *Gateway {
 	g := &Gateway{
 		Dependencies: d, registry: registry.New(), numbering: &registry.Numbering{}, pool: exchange.New(d.Timer.Now),
-		lostAt: map[unit.HostName]unit.Moment{}, needsStreams: true,
+		lostAt: map[unit.HostName]unit.Moment{}, needsStreams: true, leaderCaller: leader.New(d.Call, d.Seeds()),
 	}
 	g.nextHost = int(startIndex(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.EndpointProtocol, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
-		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream,
+		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream, TryPart: g.tryPart,
 	})
 	return g
 }
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -21,7 +21,7 @@
 // hosts don't answer.
 func (h *Hub) Handle(ctx context.Context, from unit.HostName, name string, payload []byte) ([]byte, error) {
 	switch name {
-	case kind.Quorum, kind.BookCommand, kind.BookRead:
+	case kind.Quorum, kind.BookCommand, kind.BookRead, kind.PartTrial:
 		return h.handleGroup(ctx, from, name, payload)
 	case kind.Sync:
 		return h.sync(from, payload)
@@ -62,6 +62,8 @@
 		return nil, nil
 	case kind.BookCommand:
 		return m.Propose(ctx, message.Payload)
+	case kind.PartTrial:
+		return h.answerPartTrial(from, m.Status().Leader, message.Payload)
 	default:
 		if err := m.ReadBarrier(ctx); err != nil {
 			return nil, err
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -29,6 +29,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
+	"github.com/citronglade/citronglade/internal/routing/parttrial"
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
@@ -36,8 +37,8 @@
 )
 
 const (
-	// bookGroup is the id of the consensus group that replicates the operators' decisions.
-	bookGroup = 0
+	// BookGroup is the id of the consensus group that replicates the operators' decisions.
+	BookGroup = 0
 	// Timing of the consensus group. A longer election timeout tolerates slower disks, a shorter one elects a new leader sooner.
 	groupTick      = 25 * time.Millisecond
 	groupHeartbeat = 80 * time.Millisecond
@@ -115,7 +116,8 @@
 	shared             *sharing.Filter
 	newlyShared        []sharing.PartID // shared parts not yet sent to the other control hosts
 	crashes            *quarantine.Register
-	crashCauses        *crashcause.Register // only collects and forwards evidence
+	crashCauses        *crashcause.Register // collects and forwards evidence; the leader decides on trials by it
+	trials             *parttrial.Schedule
 	streams            streamRecords
 	loads              loadSum
 	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
@@ -168,7 +170,7 @@
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
 		shared: sharing.New(), crashes: quarantine.New(), crashCauses: crashcause.New(0), permits: map[unit.EndpointID]*endpointPermits{},
 	}
-	h.streams = newStreamRecords(d.Timer.Now())
+	h.streams, h.trials = newStreamRecords(d.Timer.Now()), parttrial.New(d.Timer.Now())
 	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
 	h.stateFile = savedstate.New(d.DataFolder)
@@ -226,7 +228,7 @@
 	peers := h.seedNames()
 	form := h.FormGroup && slices.Contains(peers, string(h.Name))
 	return member.Config{
-		Group: bookGroup, Self: string(h.Name), Peers: peers, Join: !form, Folder: filepath.Join(h.DataFolder, "book"),
+		Group: BookGroup, Self: string(h.Name), Peers: peers, Join: !form, Folder: filepath.Join(h.DataFolder, "book"),
 		Timer: h.Timer, Send: h.sendGroupMessage, Tick: groupTick, Heartbeat: groupHeartbeat, Election: groupElection,
 		Seed: uint64(h.Incarnation),
 	}
@@ -346,14 +348,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = h.leaderCaller.Call(ctx, bookGroup, kind.BookCommand, payload)
+	_, err = h.leaderCaller.Call(ctx, BookGroup, kind.BookCommand, payload)
 	return err
 }
 
 // CurrentTable returns the newest accepted table. The read is linearizable: it includes every table accepted before the call.
 func (h *Hub) CurrentTable(ctx context.Context) (decisions.AcceptedTable, error) {
 	var page decisions.AcceptedTable
-	answer, err := h.leaderCaller.Call(ctx, bookGroup, kind.BookRead, nil)
+	answer, err := h.leaderCaller.Call(ctx, BookGroup, kind.BookRead, nil)
 	if err != nil {
 		return page, err
 	}
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -28,6 +28,7 @@
 	now := h.Timer.Now()
 	issues := h.leads(now)
 	h.mu.Lock()
+	h.restartTrials(now, issues)
 	granted := h.grantPermits(now, issues)
 	state := State{
 		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
--- a/internal/network/kind/kind.go
+++ b/internal/network/kind/kind.go
@@ -41,6 +41,9 @@
 	// StreamOrigin is a call with a streamorigin.Query that an entry host makes to a control host; the answer is a
 	// streamorigin.Answer.
 	StreamOrigin = "stream-origin"
+	// PartTrial is a call with a parttrial.Query that an entry host makes to the leader of group 0; the answer says whether the request may
+	// be sent.
+	PartTrial = "part-trial"
 	// BookCommand is a call with a decisions.Command for the leader of group 0.
 	BookCommand = "book-command"
 	// BookRead is a call for the leader of group 0; the answer is a decisions.AcceptedTable.
--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -48,6 +48,15 @@
 	r.findCauses(lifetimes, false, CrashesNeeded)
 	lifetimes = slices.DeleteFunc(lifetimes, func(l registry.Lifetime) bool { return r.explained[l] })
 	r.findCauses(lifetimes, true, answeredCrashesNeeded)
+	for id, cause := range r.causes {
+		needed := CrashesNeeded
+		if cause.AnsweredBefore {
+			needed = answeredCrashesNeeded
+		}
+		cause.OwnCrashes = countSeparate(r.crashesOnlyOf(id))
+		cause.Doubtful = cause.OwnCrashes < needed
+		r.causes[id] = cause
+	}
 }
 
 // findCauses goes through crashes in order of time. A crash that no cause explains gets the most likely of its parts as another cause, if
@@ -91,7 +100,9 @@
 		}
 	}
 	for _, s := range found {
-		r.causes[s.id] = Cause{Part: s.id, Crashes: len(s.lifetimes), AnsweredBefore: answered, Until: s.newest.Add(blockDuration + r.extraBlockTime)}
+		r.causes[s.id] = Cause{
+			Part: s.id, Crashes: len(s.lifetimes), AnsweredBefore: answered, LastCrash: s.newest, Until: s.newest.Add(blockDuration + r.extraBlockTime),
+		}
 	}
 }
 
@@ -145,17 +156,37 @@
 	return cmp.Or(cmp.Compare(len(b.lifetimes), len(a.lifetimes)), cmp.Compare(b.position, a.position), cmp.Compare(a.id, b.id))
 }
 
-// unexplainedCrashes returns the times of the crashes that count against a part and that no cause explains.
-func (r *Register) unexplainedCrashes(id PartID) []unit.Moment {
+// crashTimes returns the times of the crashes that count against a part: all of them, or only those that no cause explains.
+func (r *Register) crashTimes(id PartID, unexplained bool) []unit.Moment {
 	var times []unit.Moment
 	for l, c := range r.crashes {
-		if !r.explained[l] && r.holds(c, id) {
+		if r.holds(c, id) && !(unexplained && r.explained[l]) {
+			times = append(times, c.at)
+		}
+	}
+	return times
+}
+
+// crashesOnlyOf returns the times of the crashes that count against a blocked part and that no other blocked part explains.
+func (r *Register) crashesOnlyOf(id PartID) []unit.Moment {
+	var times []unit.Moment
+	for _, c := range r.crashes {
+		if r.holds(c, id) && !r.heldByAnother(c, id) {
 			times = append(times, c.at)
 		}
 	}
 	return times
 }
 
+func (r *Register) heldByAnother(c *crash, id PartID) bool {
+	for other := range r.causes {
+		if other != id && r.holds(c, other) {
+			return true
+		}
+	}
+	return false
+}
+
 // countSeparate counts moments; those within simultaneity of the first one of a group count once.
 func countSeparate(times []unit.Moment) int {
 	slices.Sort(times)
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -128,7 +128,14 @@
 	Crashes int // crashes that it explains
 	// AnsweredBefore is set if requests with the part were answered before these crashes.
 	AnsweredBefore bool
-	Until          unit.Moment
+	// OwnCrashes is the number of separate crashes that no other blocked part explains. Doubtful is set if the part wouldn't be blocked for
+	// these alone, so that it may be harmless.
+	OwnCrashes int
+	Doubtful   bool
+	// Rivals is the number of other parts of the checked prompt that may have caused at least two crashes, whether or not these are explained.
+	Rivals    int
+	LastCrash unit.Moment
+	Until     unit.Moment
 }
 
 // New returns an empty register. The draw is a random number in [0, 1) that sets the host's end of a block within blockSpread.
@@ -163,11 +170,40 @@
 	}
 	r.update()
 	for _, id := range parts {
-		if c, ok := r.causes[id]; ok && now.Before(c.Until) {
-			return c, true
+		c, ok := r.causes[id]
+		switch {
+		case !ok || !now.Before(c.Until) || blocked && id == cause.Part:
+		case blocked:
+			cause.Doubtful = false
+			return cause, true
+		default:
+			cause, blocked = c, true
 		}
 	}
-	return Cause{}, false
+	if cause.Doubtful {
+		cause.Rivals = r.countRivals(cause.Part, parts)
+	}
+	return cause, blocked
+}
+
+func (r *Register) countRivals(blocked PartID, parts []PartID) int {
+	rivals := 0
+	for _, id := range parts {
+		if id != blocked && countSeparate(r.crashTimes(id, false)) >= suspectCrashes {
+			rivals++
+		}
+	}
+	return rivals
+}
+
+// LastCrash returns when the last crash was noticed, and false if none is remembered.
+func (r *Register) LastCrash() (last unit.Moment, ok bool) {
+	for _, c := range r.crashes {
+		if !ok || c.at > last {
+			last, ok = c.at, true
+		}
+	}
+	return last, ok
 }
 
 // Suspects reports whether one of the parts is blocked or may have caused at least two crashes, so that a request with it shouldn't be
@@ -178,7 +214,7 @@
 	}
 	r.update()
 	for _, id := range parts {
-		if _, blocked := r.causes[id]; blocked || countSeparate(r.unexplainedCrashes(id)) >= suspectCrashes {
+		if _, blocked := r.causes[id]; blocked || countSeparate(r.crashTimes(id, true)) >= suspectCrashes {
 			return true
 		}
 	}
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -1,6 +1,7 @@
 package crashcause
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -193,6 +194,67 @@
 	assert.Assert(t, !blocked, "an answer ended the decision, so that the later part is blamed")
 }
 
+// Guards against harmless parts that stay blocked because they stood in the crashes of several deadly ones, and against doubt about a part
+// that crashes engines by itself.
+func TestABlockedPartIsDoubtfulWhileOthersExplainItsCrashes(t *testing.T) {
+	const deadly2 = other
+	cases := []struct {
+		name     string
+		crashes  [][]Part
+		doubtful map[PartID]int // blocked parts, and the crashes that only they explain
+		certain  map[PartID]int
+	}{
+		{name: "one deadly part", crashes: [][]Part{prompt(first, deadly), prompt(first, deadly), prompt(first, deadly)}, certain: map[PartID]int{deadly: 3}},
+		{
+			name: "a subject in the crashes of two deadly parts",
+			crashes: [][]Part{
+				prompt(subject, deadly), prompt(subject, deadly2), prompt(subject, deadly), prompt(first, deadly), prompt(first, deadly2), prompt(first, deadly2),
+				prompt(first, deadly), prompt(first, deadly),
+			},
+			doubtful: map[PartID]int{subject: 0, deadly2: 2}, certain: map[PartID]int{deadly: 3},
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := New(0)
+			for i, parts := range c.crashes {
+				r.RecordCrash(at(time.Duration(2*i)*time.Second), lifetime(i), parts)
+				r.RecordServed(at(time.Duration(2*i+1)*time.Second), prompt(first))
+			}
+			now := at(time.Minute)
+			doubtful, certain := map[PartID]int{}, map[PartID]int{}
+			for _, cause := range r.Causes(now) {
+				if cause.Doubtful {
+					doubtful[cause.Part] = cause.OwnCrashes
+				} else {
+					certain[cause.Part] = cause.OwnCrashes
+				}
+			}
+			assert.Equal(t, fmt.Sprint(doubtful), fmt.Sprint(c.doubtful))
+			assert.Equal(t, fmt.Sprint(certain), fmt.Sprint(c.certain))
+			r.RecordServed(now, prompt(subject))
+			for _, cause := range r.Causes(now) {
+				assert.Assert(t, !cause.Doubtful, "once the subject is cleared, nothing else explains the crashes of part %d", cause.Part)
+			}
+		})
+	}
+}
+
+// Guards against a trial of a request with two blocked parts, whose crash wouldn't tell which of them is deadly.
+func TestARequestWithTwoBlockedPartsIsNotInDoubt(t *testing.T) {
+	r := New(0)
+	for i := range 4 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, deadly, other))
+	}
+	r.RecordCrash(at(5*time.Second), lifetime(5), prompt(first, deadly))
+	r.RecordCrash(at(6*time.Second), lifetime(6), prompt(first, other))
+	now := at(7 * time.Second)
+	cause, blocked := r.Check(now, []PartID{first, deadly, first, deadly})
+	assert.Assert(t, blocked && cause.Doubtful)
+	cause, blocked = r.Check(now, []PartID{first, deadly, other})
+	assert.Assert(t, blocked && !cause.Doubtful)
+}
+
 // Guards against hosts that block different parts although they know of the same events, and against a host that learns that a part
 // crashes engines and doesn't say that it has answered requests with it.
 func TestHostsWithTheSameNoticesBlockTheSameParts(t *testing.T) {
--- /dev/null
+++ b/internal/routing/parttrial/schedule_test.go
@@ -0,0 +1,101 @@
+package parttrial
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/routing/crashcause"
+)
+
+const (
+	subject crashcause.PartID = iota + 1 // stood in crashes of both deadly parts, as subject2
+	subject2
+	deadly
+	deadly2
+	single // crashed engines alone
+	sound
+)
+
+func at(t time.Duration) unit.Moment { return unit.Moment(t) }
+
+func partsOf(ids ...crashcause.PartID) []crashcause.Part {
+	var parts []crashcause.Part
+	for i, id := range ids {
+		parts = append(parts, crashcause.Part{ID: id, Position: uint8(i)})
+	}
+	return parts
+}
+
+func crash(r *crashcause.Register, n int, ids ...crashcause.PartID) {
+	r.RecordCrash(at(time.Duration(n)*time.Second), registry.Lifetime{Endpoint: "e", Born: int64(n)}, partsOf(ids...))
+}
+
+// blockedParts returns a register in which all parts but sound are blocked after 14 s. The subjects and deadly2 are doubtful, with no and 2
+// crashes that only they explain.
+func blockedParts() *crashcause.Register {
+	r := crashcause.New(0)
+	for n, ids := range [][]crashcause.PartID{
+		{subject, subject2, deadly}, {subject, subject2, deadly2}, {subject, subject2, deadly}, {subject, deadly2},
+		{deadly}, {deadly2}, {deadly2}, {deadly}, {deadly}, {single}, {single}, {single},
+	} {
+		crash(r, n+3, ids...)
+	}
+	return r
+}
+
+// Guards against trials that can tell nothing, and against more crashes for the sake of trials than a part that isn't harmless may cause.
+func TestTrialsAreGrantedForDoubtfulParts(t *testing.T) {
+	const quiet = 20 * time.Second // long after the last crash
+	cases := []struct {
+		name    string
+		start   time.Duration
+		run     func(s *Schedule, r *crashcause.Register)
+		part    crashcause.PartID
+		rivals  uint
+		at      time.Duration
+		granted bool
+	}{
+		{name: "a part whose crashes others explain", part: subject, at: quiet, granted: true},
+		{name: "not while engines crash", part: subject, at: 14*time.Second + 400*time.Millisecond},
+		{name: "a part that isn't blocked", part: sound, at: quiet},
+		{name: "a part that crashes engines by itself", part: single, at: time.Hour},
+		{name: "a part with crashes of its own waits longer", part: deadly2, at: quiet},
+		{name: "until the more likely ones have been tried", part: deadly2, at: quiet + 10*time.Second, granted: true},
+		{name: "a request with another suspected part waits longer", part: subject, rivals: 2, at: quiet},
+		{name: "until better ones have been tried", part: subject, rivals: 2, at: quiet + 3*time.Second, granted: true},
+		{name: "another schedule may have granted one", start: quiet - time.Second, part: subject, at: quiet},
+		{name: "while another one of the part runs", run: func(s *Schedule, r *crashcause.Register) {
+			s.Grant(at(quiet-time.Second), Query{Part: subject}, r)
+		}, part: subject, at: quiet},
+		{name: "after one without a result", run: func(s *Schedule, r *crashcause.Register) {
+			s.Grant(at(quiet-2*time.Second), Query{Part: subject}, r)
+		}, part: subject, at: quiet, granted: true},
+		{name: "beside one of another part", run: func(s *Schedule, r *crashcause.Register) {
+			s.Grant(at(quiet-time.Second), Query{Part: subject}, r)
+		}, part: subject2, at: quiet, granted: true},
+		{name: "after one that crashed with a deadly part", run: func(s *Schedule, r *crashcause.Register) {
+			s.Grant(at(quiet), Query{Part: subject}, r)
+			crash(r, 21, subject, deadly)
+		}, part: subject, at: quiet + 3*time.Second, granted: true},
+		{name: "not a third time", run: func(s *Schedule, r *crashcause.Register) {
+			for i := range maxFailures {
+				n := 20 + 10*i
+				s.Grant(at(time.Duration(n)*time.Second), Query{Part: subject}, r)
+				crash(r, n+1, subject, deadly)
+			}
+		}, part: subject, at: time.Hour},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := New(at(c.start)), blockedParts()
+			if c.run != nil {
+				c.run(s, r)
+			}
+			assert.Equal(t, s.Grant(at(c.at), Query{c.part, c.rivals}, r), c.granted)
+		})
+	}
+}
