--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -160,7 +160,7 @@
 func (r *Register) crashTimes(id PartID, unexplained bool) []unit.Moment {
 	var times []unit.Moment
 	for l, c := range r.crashes {
-		if r.holds(c, id) && !(unexplained && r.explained[l]) {
+		if r.holds(c, id) && (!unexplained || !r.explained[l]) {
 			times = append(times, c.at)
 		}
 	}
--- a/internal/routing/parttrial/schedule_test.go
+++ b/internal/routing/parttrial/schedule_test.go
@@ -39,8 +39,18 @@
 func blockedParts() *crashcause.Register {
 	r := crashcause.New(0)
 	for n, ids := range [][]crashcause.PartID{
-		{subject, subject2, deadly}, {subject, subject2, deadly2}, {subject, subject2, deadly}, {subject, deadly2},
-		{deadly}, {deadly2}, {deadly2}, {deadly}, {deadly}, {single}, {single}, {single},
+		{subject, subject2, deadly},
+		{subject, subject2, deadly2},
+		{subject, subject2, deadly},
+		{subject, deadly2},
+		{deadly},
+		{deadly2},
+		{deadly2},
+		{deadly},
+		{deadly},
+		{single},
+		{single},
+		{single},
 	} {
 		crash(r, n+3, ids...)
 	}
