Tell callers with a doubtful part to come back after a trial, not after two hours

A request with a blocked part was refused with the end of the block as Retry-After, two hours or more. A part in doubt is tried within seconds and mostly free then, so that this time was wrong for callers of sound requests. They are told 2 to 4 s now, drawn for each, and the time of the block for parts that aren't in doubt. TestABlockedPartIsTriedOnlyWithPermission fails before (Retry-After 2 h 25 min).

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -6,6 +6,8 @@
 	"encoding/binary"
 	"fmt"
 	"math"
+	"math/rand/v2"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
@@ -20,6 +22,9 @@
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 )
 
+// doubtfulRetryAfter is the least time after which a caller may try again a request with a blocked part that may be harmless.
+const doubtfulRetryAfter = 2 * time.Second
+
 var (
 	endpointsDown       = metrics.NewCounter("citronglade_endpoints_found_down_total")
 	contentsQuarantined = metrics.NewCounter("citronglade_contents_quarantined_total")
@@ -99,8 +104,12 @@
 	if !blocked || r.mayTry(ctx, cause) {
 		return nil
 	}
+	retryAfter := cause.Until.Sub(now)
+	if cause.Doubtful { // a trial may end the block before; callers return spread over as much time again
+		retryAfter = min(retryAfter, time.Duration((1+rand.Float64())*float64(doubtfulRetryAfter)))
+	}
 	return fault.Quarantined.New("part %016x of the prompt has crashed %d endpoints", uint64(cause.Part), cause.Crashes).
-		WithProperty(fault.RetryAfter, cause.Until.Sub(now))
+		WithProperty(fault.RetryAfter, retryAfter)
 }
 
 // mayTry reports whether the request may be sent although a part of its prompt is blocked, because the part may be harmless.
--- a/internal/callers/forward/trial_test.go
+++ b/internal/callers/forward/trial_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -13,8 +14,9 @@
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
 )
 
-// Guards against harmless parts that stay blocked since no request tries them, against requests that try a part without permission, and
-// against questions about parts that certainly crash endpoints.
+// Guards against harmless parts that stay blocked since no request tries them, against requests that try a part without permission, against
+// questions about parts that certainly crash endpoints, and against callers who are told to come back when a trial is long over, or at once
+// with a part that stays blocked.
 func TestABlockedPartIsTriedOnlyWithPermission(t *testing.T) {
 	id := func(part string) crashcause.PartID { return crashcause.NewPartID("m", part) }
 	cases := []struct {
@@ -23,10 +25,11 @@
 		granted bool
 		asked   []crashcause.PartID
 		status  int
+		backBy  time.Duration // latest time after which a refused caller may come back, 0 for an hour and more
 	}{
 		{name: "a part that isn't blocked", parts: []string{"sound", "last"}, status: http.StatusOK},
 		{name: "granted", parts: []string{"subject", "last"}, granted: true, asked: []crashcause.PartID{id("subject")}, status: http.StatusOK},
-		{name: "not granted", parts: []string{"subject", "last"}, asked: []crashcause.PartID{id("subject")}, status: http.StatusServiceUnavailable},
+		{name: "not granted", parts: []string{"subject", "last"}, asked: []crashcause.PartID{id("subject")}, status: http.StatusServiceUnavailable, backBy: 5 * time.Second},
 		{name: "with a part that certainly crashes endpoints", parts: []string{"subject", "deadly", "last"}, granted: true, status: http.StatusServiceUnavailable},
 	}
 	for _, c := range cases {
@@ -51,12 +54,16 @@
 			for _, part := range c.parts {
 				prompt.Parts = append(prompt.Parts, assign.Part{ID: part})
 			}
-			status, _, _, err := servePrompt(t, h, "/safe/x", "", prompt)
+			status, header, _, err := servePrompt(t, h, "/safe/x", "", prompt)
 			assert.NilError(t, err)
 			assert.Equal(t, status, c.status)
 			assert.DeepEqual(t, asked, c.asked)
 			if c.status != http.StatusOK {
 				assert.Equal(t, endpoint.count(), 0)
+				seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+				assert.NilError(t, err)
+				after := time.Duration(seconds * float64(time.Second))
+				assert.Assert(t, c.backBy == 0 && after > time.Hour || after <= c.backBy, "%s", after)
 				return
 			}
 			status, _, _, err = servePrompt(t, h, "/safe/y", "", prompt)
