--- a/internal/host/entry/loops.go
+++ b/internal/host/entry/loops.go
@@ -193,9 +193,9 @@
 	}
 }
 
-// SpreadQuarantines sends the quarantined contents and the causes of crashes to all neighbours without waiting for the next gossip round, because the caller may
-// resend the request that caused the crashes to another host at once. It returns when the neighbours have answered, or after
-// quarantineTimeout.
+// SpreadQuarantines sends the quarantined contents and the causes of crashes to all neighbours without waiting for the next gossip round,
+// because the caller may resend the request that caused the crashes to another host at once. It returns when the neighbours have answered,
+// or after quarantineTimeout.
 func (h *Host) SpreadQuarantines(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), quarantineTimeout)
 	defer cancel()
