--- a/internal/base/timer/service.go
+++ b/internal/base/timer/service.go
@@ -7,13 +7,16 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
 // Service is a clock that also calls subscribers at an interval. It is safe for concurrent use.
 type Service struct {
-	now    func() unit.Moment
-	manual bool // time moves only with Advance
+	now       func() unit.Moment
+	suspended func() time.Duration
+	manual    bool // time moves only with Advance
 
 	mu          sync.Mutex
 	moment      unit.Moment            // the current time of a manual service
@@ -29,16 +32,32 @@
 
 // New returns a service that uses the process's monotonic clock.
 func New() *Service {
-	start := time.Now()
+	return newFromClocks(readClock(unix.CLOCK_MONOTONIC), readClock(unix.CLOCK_BOOTTIME))
+}
+
+// newFromClocks returns a service that starts at 0. The steady clock stops while the machine is suspended, the other one doesn't.
+func newFromClocks(steady, uninterrupted func() time.Duration) *Service {
+	steadyStart, start := steady(), uninterrupted()
 	return &Service{
-		now:         func() unit.Moment { return unit.Moment(time.Since(start)) },
+		now:         func() unit.Moment { return unit.Moment(steady() - steadyStart) },
+		suspended:   func() time.Duration { return max(0, (uninterrupted()-start)-(steady()-steadyStart)) },
 		subscribers: map[uint64]*subscriber{},
 	}
 }
 
+// readClock returns a function that reads a clock of the system.
+func readClock(clock int32) func() time.Duration {
+	return func() time.Duration {
+		var now unix.Timespec
+		// The call fails only for a clock that doesn't exist.
+		_ = unix.ClockGettime(clock, &now)
+		return time.Duration(now.Nano())
+	}
+}
+
 // NewManual returns a service for tests, whose time starts at 0 and moves only with Advance.
 func NewManual() *Service {
-	s := &Service{manual: true, subscribers: map[uint64]*subscriber{}}
+	s := &Service{manual: true, suspended: func() time.Duration { return 0 }, subscribers: map[uint64]*subscriber{}}
 	s.now = func() unit.Moment {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -52,6 +71,11 @@
 	return s.now()
 }
 
+// Suspended returns for how long the machine has been suspended since the service was made.
+func (s *Service) Suspended() time.Duration {
+	return s.suspended()
+}
+
 // Subscribe calls the callback at every interval until the returned function is called. On the real clock each subscriber has
 // its own goroutine, so that calls of one callback never overlap and a slow callback doesn't delay the others.
 func (s *Service) Subscribe(interval time.Duration, callback func(now unit.Moment)) (cancel func()) {
--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -187,6 +187,9 @@
 		<-logged
 	}()
 	p.addActor(&actors, work, "link", p.link.Run)
+	p.addActor(&actors, work, "suspensions", func(ctx context.Context) error {
+		return timer.ReportSuspensions(ctx, p.timer, func(d time.Duration) { p.log.Warn("machine-suspended", "ms", d.Milliseconds()) })
+	})
 	if p.gateway != nil {
 		p.addActor(&actors, work, "entry", p.gateway.Run)
 	}
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -99,6 +99,9 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	addActor(&actors, work, "link", p.link.Run)
+	addActor(&actors, work, "suspensions", func(ctx context.Context) error {
+		return timer.ReportSuspensions(ctx, p.timer, func(d time.Duration) { klog.Warningf("host: the machine was suspended for %v", d) })
+	})
 	if p.control != nil {
 		addActor(&actors, work, "control", p.control.Run)
 	}
