Count the time during which the machine was suspended

Callers saw (users' report): a control host answered a read of the configuration with an older version than one that had been acknowledged more than 2 s before the read was sent.

Cause: the timer service read CLOCK_MONOTONIC, which stops while a machine is suspended. A leader that woke up took its lease of 0.36 s for valid, although another leader had accepted versions for seconds, and answered the reads that had waited in its socket. Every other bound on time (permits, silence of hosts, claims' hold times, leases of limits) had the same fault.

Change: the service reads CLOCK_BOOTTIME. Its time still never goes back, and on a machine that is never suspended both clocks are the same.

--- a/internal/agreement/quorum/directed_test.go
+++ b/internal/agreement/quorum/directed_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -42,6 +43,33 @@
 	return nil
 }
 
+// Guards against a leader that answers a read with what it knew before its suspension, because its lease seems to be valid when it
+// resumes. The second case shows that the simulation finds such a lease.
+func TestASuspendedLeaderReadsNothingOld(t *testing.T) {
+	cases := []struct {
+		name        string
+		steadyClock bool
+		failure     string
+	}{
+		{name: "the clock counts the suspension"},
+		{name: "the clock stops during the suspension", steadyClock: true, failure: "holds a lease of term"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s, leader := newFormedGroup(t, 5)
+			leader.steadyClock = c.steadyClock
+			s.suspend(leader, 3*time.Second)
+			s.run(2 * time.Second)
+			s.proposeAndRead() // a read waits at the suspended host, too
+			s.run(500 * time.Millisecond)
+			s.proposeAndRead()
+			s.run(time.Second)
+			assert.Assert(t, strings.Contains(s.failure, c.failure), s.failure)
+			assert.Equal(t, s.failure == "", c.failure == "", s.failure)
+		})
+	}
+}
+
 // Guards against the deposition of a working leader by a host that returns from a partition, or by one that can't reach the
 // leader while the other hosts can.
 func TestPartitionedHostDoesNotDisturb(t *testing.T) {
--- a/internal/agreement/quorum/simulator_test.go
+++ b/internal/agreement/quorum/simulator_test.go
@@ -46,6 +46,7 @@
 	frozenUntil   unit.Moment
 	clockOffset   time.Duration
 	clockRate     float64
+	steadyClock   bool // the clock stops while the host is suspended
 	identity      string
 	disk          simDisk
 	applied       Index
@@ -296,6 +297,14 @@
 	}
 }
 
+// suspend stops a host for d. Inputs that arrive meanwhile wait until it resumes.
+func (w *simulator) suspend(h *simHost, d time.Duration) {
+	h.frozenUntil = w.now.Add(d)
+	if h.steadyClock {
+		h.clockOffset -= time.Duration(float64(d) * h.clockRate)
+	}
+}
+
 // wipe restarts a host with an empty disk that has a new identity.
 func (w *simulator) wipe(h *simHost) {
 	w.crash(h)
--- a/internal/base/timer/service.go
+++ b/internal/base/timer/service.go
@@ -30,7 +30,7 @@
 	callback func(now unit.Moment)
 }
 
-// New returns a service that uses the process's monotonic clock.
+// New returns a service whose time never goes back and doesn't stop while the machine is suspended.
 func New() *Service {
 	return newFromClocks(readClock(unix.CLOCK_MONOTONIC), readClock(unix.CLOCK_BOOTTIME))
 }
@@ -39,7 +39,7 @@
 func newFromClocks(steady, uninterrupted func() time.Duration) *Service {
 	steadyStart, start := steady(), uninterrupted()
 	return &Service{
-		now:         func() unit.Moment { return unit.Moment(steady() - steadyStart) },
+		now:         func() unit.Moment { return unit.Moment(uninterrupted() - start) },
 		suspended:   func() time.Duration { return max(0, (uninterrupted()-start)-(steady()-steadyStart)) },
 		subscribers: map[uint64]*subscriber{},
 	}
@@ -66,7 +66,8 @@
 	return s
 }
 
-// Now returns the current time. Time during which the process was paused, for instance by SIGSTOP, counts, too.
+// Now returns the current time. Time during which the process was paused, for instance by SIGSTOP, or the machine suspended
+// counts, too.
 func (s *Service) Now() unit.Moment {
 	return s.now()
 }
