Tell a host that asks to join who the group's members are

Cause: a new control host asks only its three seeds and those that it hears from. Of its seeds one was gone and none led, so the leader never heard of it and kept a vote for the host that was gone. Three of five votes were lost then.

Change: a member answers an announcement with the current configuration, and the host announces itself to all members. The simulation's hosts know only their peers now, which is stricter.

--- a/internal/agreement/quorum/configuration.go
+++ b/internal/agreement/quorum/configuration.go
@@ -56,6 +56,15 @@
 	return slices.Concat(c.Voters, c.Learners)
 }
 
+// hosts returns the hosts of the members. A host whose disk was lost may be listed twice.
+func (c Configuration) hosts() []string {
+	var hosts []string
+	for _, id := range c.members() {
+		hosts = append(hosts, id.Host())
+	}
+	return hosts
+}
+
 // voterOnHost returns the voter that runs on host, if there is one.
 func (c Configuration) voterOnHost(host string) (NodeID, bool) {
 	at := slices.IndexFunc(c.Voters, func(id NodeID) bool { return id.Host() == host })
--- a/internal/agreement/quorum/formation.go
+++ b/internal/agreement/quorum/formation.go
@@ -12,6 +12,7 @@
 	unformedPeers map[string]NodeID        // node IDs, by host, of the peers that belong to no group yet
 	groupExists   bool                     // a peer already belongs to a group, so no new group may be formed
 	candidates    map[string]joinCandidate // by host
+	groupHosts    []string                 // hosts of the group's members, as the last member that answered named them
 	announcedAt   unit.Moment
 }
 
@@ -48,13 +49,19 @@
 		return
 	}
 	f.announcedAt = n.now
-	for _, host := range n.cfg.Peers {
-		if host != n.cfg.Self.Host() {
-			n.send(Message{Kind: MessageAnnouncement, To: NewNodeID(host, "")})
-		}
+	for _, host := range n.announcementTargets() {
+		n.send(Message{Kind: MessageAnnouncement, To: NewNodeID(host, "")})
 	}
 }
 
+// announcementTargets returns the other hosts among the configured peers and the group's members, without repetition. The leader may
+// not be among the peers.
+func (n *Node) announcementTargets() []string {
+	hosts := slices.Concat(n.cfg.Peers, n.formation.groupHosts)
+	slices.Sort(hosts)
+	return slices.DeleteFunc(slices.Compact(hosts), func(host string) bool { return host == n.cfg.Self.Host() })
+}
+
 func (n *Node) allPeersAnnounced() bool {
 	for _, host := range n.cfg.Peers {
 		if _, heard := n.formation.unformedPeers[host]; !heard && host != n.cfg.Self.Host() {
@@ -112,6 +119,9 @@
 	}
 	if m.Group != "" {
 		n.formation.groupExists = true
+		if m.Configuration != nil {
+			n.formation.groupHosts = m.Configuration.hosts()
+		}
 		return
 	}
 	n.onAnnouncement(m)
@@ -131,7 +141,8 @@
 		n.send(Message{Kind: MessageFormGroup, To: m.From, Configuration: &first})
 		return
 	}
-	n.send(Message{Kind: MessageAnnouncement, To: m.From})
+	current := n.configuration().clone()
+	n.send(Message{Kind: MessageAnnouncement, To: m.From, Configuration: &current})
 	if _, known := n.formation.candidates[host]; known || len(n.formation.candidates) < maxMembers {
 		n.formation.candidates[host] = joinCandidate{m.From, n.now}
 	}
--- a/internal/agreement/quorum/replacement_test.go
+++ b/internal/agreement/quorum/replacement_test.go
@@ -20,7 +20,6 @@
 func (s *faultInjector) runWithControl(d time.Duration) {
 	for end := s.now.Add(d); s.now < end; {
 		s.run(controlInterval)
-		s.announcePeers()
 		leader := s.currentLeader()
 		if leader == nil {
 			continue
@@ -40,19 +39,6 @@
 	}
 }
 
-// announcePeers gives the names of all hosts to the hosts outside the group, so that they can ask every one of them to join.
-func (s *faultInjector) announcePeers() {
-	var names []string
-	for _, h := range s.hosts {
-		names = append(names, h.name)
-	}
-	for _, h := range s.hosts {
-		if h.up && h.node.hardState.Group == "" {
-			s.step(h, Input{Peers: names})
-		}
-	}
-}
-
 // addJoiningHost adds a host with an empty disk that asks the first three hosts to join.
 func (s *faultInjector) addJoiningHost(name string) *simHost {
 	h := s.addHost(name)
@@ -62,8 +48,13 @@
 
 // requestJoin makes a host with an empty disk ask the first three hosts to join.
 func (s *faultInjector) requestJoin(h *simHost) {
+	s.requestJoinFrom(h, "h1", "h2", "h3")
+}
+
+// requestJoinFrom makes a host with an empty disk ask the named hosts to join.
+func (s *faultInjector) requestJoinFrom(h *simHost, peers ...string) {
 	h.node.cfg.Join = true
-	s.step(h, Input{Peers: []string{"h1", "h2", "h3"}})
+	s.step(h, Input{Peers: peers})
 }
 
 // loseHost stops a host permanently.
@@ -98,6 +89,12 @@
 			s.runWithControl(2 * time.Second)
 			s.addJoiningHost("h7")
 		}, removed: []string{"h4"}, voters: []string{"h7"}},
+		{name: "unplanned: the new host knows a lost host and one that doesn't lead", disrupt: func(s *faultInjector) {
+			s.loseHost(s.host("h6"))
+			lost := s.hostExcept(s.currentLeader(), s.host("h6"))
+			s.loseHost(lost)
+			s.requestJoinFrom(s.addHost("h7"), lost.name, s.hostExcept(s.currentLeader(), lost).name)
+		}, voters: []string{"h7"}},
 		{name: "a joining host is lost while it catches up", disrupt: func(s *faultInjector) {
 			s.loseHost(s.host("h4"))
 			for s.currentLeader() == nil || len(s.currentLeader().node.Status().Configuration.Learners) == 0 {
