Let a host that was removed while it was away join again

Callers saw: nothing yet; found while looking for the cause of the lost configuration in the code.

Cause: a voter that is silent for 7 s while another host waits is removed. When it comes back, its log belongs to the group, so that it didn't announce itself, and nobody took it back. Lost hosts that are replaced one after the other leave the group with a vote too few although enough hosts run.

Evidence: two new cases of TestReplacedHosts (a voter is cut off, or down, until the spare has its vote; then another voter is lost) failed before: the lost host kept its vote to the end.

Change: a node that has heard no leader for two election timeouts announces itself to all members that it knows. The leader lists it among those that ask to join unless it is a member. It keeps its identity, its log and its votes, so that it is caught up like any follower.

--- a/internal/agreement/member/calls.go
+++ b/internal/agreement/member/calls.go
@@ -50,7 +50,7 @@
 	return err
 }
 
-// RemoveHost removes a host from the voters and learners. To join again, the host needs an empty folder. RemoveHost fails
+// RemoveHost removes a host from the voters and learners. A host that still runs asks to join again. RemoveHost fails
 // with fault.NotFound if the host isn't a member, with fault.BadInput for the last voter and with fault.Overloaded during
 // another change.
 func (m *Member) RemoveHost(ctx context.Context, host string) error {
--- a/internal/agreement/quorum/formation.go
+++ b/internal/agreement/quorum/formation.go
@@ -48,7 +48,19 @@
 	if f.announcedAt != 0 && n.now.Sub(f.announcedAt) < n.cfg.HeartbeatInterval {
 		return
 	}
-	f.announcedAt = n.now
+	n.announce()
+}
+
+// announceWithoutLeader announces a node that hears no leader of its group. It may have been removed while it was down or cut off, and
+// then asks to join again.
+func (n *Node) announceWithoutLeader() {
+	if n.now.Sub(n.leaderHeardAt) > 2*n.cfg.ElectionTimeout && n.now.Sub(n.formation.announcedAt) >= n.cfg.ElectionTimeout {
+		n.announce()
+	}
+}
+
+func (n *Node) announce() {
+	n.formation.announcedAt = n.now
 	for _, host := range n.announcementTargets() {
 		n.send(Message{Kind: MessageAnnouncement, To: NewNodeID(host, "")})
 	}
@@ -57,7 +69,7 @@
 // announcementTargets returns the other hosts among the configured peers and the group's members, without repetition. The leader may
 // not be among the peers.
 func (n *Node) announcementTargets() []string {
-	hosts := slices.Concat(n.cfg.Peers, n.formation.groupHosts)
+	hosts := slices.Concat(n.cfg.Peers, n.formation.groupHosts, n.configuration().hosts())
 	slices.Sort(hosts)
 	return slices.DeleteFunc(slices.Compact(hosts), func(host string) bool { return host == n.cfg.Self.Host() })
 }
@@ -121,6 +133,8 @@
 		n.formation.groupExists = true
 		if m.Configuration != nil {
 			n.formation.groupHosts = m.Configuration.hosts()
+		} else if m.Group == n.hardState.Group && !slices.Contains(n.configuration().members(), m.From) {
+			n.addJoinCandidate(m.From)
 		}
 		return
 	}
@@ -141,12 +155,17 @@
 		n.send(Message{Kind: MessageFormGroup, To: m.From, Configuration: &first})
 		return
 	}
+	n.addJoinCandidate(m.From)
+	n.addReplacementLearner(m.From)
+}
+
+// addJoinCandidate records that a node asks to join, and tells it who the members are.
+func (n *Node) addJoinCandidate(id NodeID) {
 	current := n.configuration().clone()
-	n.send(Message{Kind: MessageAnnouncement, To: m.From, Configuration: &current})
-	if _, known := n.formation.candidates[host]; known || len(n.formation.candidates) < maxMembers {
-		n.formation.candidates[host] = joinCandidate{m.From, n.now}
+	n.send(Message{Kind: MessageAnnouncement, To: id, Configuration: &current})
+	if _, known := n.formation.candidates[id.Host()]; known || len(n.formation.candidates) < maxMembers {
+		n.formation.candidates[id.Host()] = joinCandidate{id, n.now}
 	}
-	n.addReplacementLearner(m.From)
 }
 
 // addReplacementLearner adds id as a learner if it runs on the host of a voter whose disk was lost. The host rejoins under
--- a/internal/agreement/quorum/message.go
+++ b/internal/agreement/quorum/message.go
@@ -10,7 +10,7 @@
 
 // The kinds of messages.
 const (
-	MessageAnnouncement MessageKind = iota + 1 // from a node without a group: its identity; from a group member: who its members are
+	MessageAnnouncement MessageKind = iota + 1 // without a configuration: a node asks to join; with one: a member's answer to it
 	MessageFormGroup                           // tells a node the group's name and first configuration
 	MessagePreVote
 	MessagePreVoteResponse
--- a/internal/agreement/quorum/node.go
+++ b/internal/agreement/quorum/node.go
@@ -185,6 +185,7 @@
 		n.tickLeader()
 		return
 	}
+	n.announceWithoutLeader()
 	if n.now >= n.electionDeadline {
 		n.preCampaign()
 	}
--- a/internal/agreement/quorum/replacement_test.go
+++ b/internal/agreement/quorum/replacement_test.go
@@ -104,6 +104,20 @@
 			s.runWithControl(time.Second)
 			s.addJoiningHost("h7")
 		}, removed: []string{"h4", "h6"}, voters: []string{"h7"}},
+		{name: "a voter is cut off until the spare has replaced it, and returns before another voter is lost", disrupt: func(s *faultInjector) {
+			s.isolate(s.host("h4"))
+			s.runWithControl(SilentAfter + 2*time.Second)
+			clear(s.blockedLinks)
+			s.runWithControl(time.Second)
+			s.loseHost(s.host("h5"))
+		}, removed: []string{"h5"}, voters: []string{"h4", "h6"}},
+		{name: "a voter is down until the spare has replaced it, and returns before another voter is lost", disrupt: func(s *faultInjector) {
+			s.crash(s.host("h4"))
+			s.runWithControl(SilentAfter + 2*time.Second)
+			s.boot(s.host("h4"))
+			s.runWithControl(time.Second)
+			s.loseHost(s.host("h5"))
+		}, removed: []string{"h5"}, voters: []string{"h4", "h6"}},
 		{name: "two disks are lost at once", disrupt: func(s *faultInjector) {
 			for _, name := range []string{"h1", "h5"} {
 				s.wipe(s.host(name))
