Replace a silent voter as soon as another control host can vote

Cause: a voter kept its vote through 7 s of silence, counted from the start of each leader's term, and its successor began to catch up only after the removal.

Change: silent means 1.5 s. The other host gets a vote before the silent one loses its own: a silent voter may come back with its disk, and meanwhile a group of six tolerates no less than one of five with a silent voter. Voters beyond the target are removed, silent ones first.

--- a/internal/agreement/quorum/leader.go
+++ b/internal/agreement/quorum/leader.go
@@ -7,8 +7,9 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
-// SilentAfter is how long a member may leave heartbeats unanswered before Status.Silent lists it.
-const SilentAfter = 7 * time.Second
+// SilentAfter is how long a member may leave heartbeats unanswered before Status.Silent lists it. A host that was lost has to be replaced
+// within the few seconds in which its successor may catch up.
+const SilentAfter = 1500 * time.Millisecond
 
 // leaderState is the state that exists only while the node is the leader.
 type leaderState struct {
--- a/internal/agreement/quorum/replacement_test.go
+++ b/internal/agreement/quorum/replacement_test.go
@@ -191,3 +191,61 @@
 		})
 	}
 }
+
+// catchUp is how long after the start of its successor a replaced host still counts as lost.
+const catchUp = 4 * time.Second
+
+// Guards against a group that waits so long before it gives a lost host's vote to the successor that the loss of two disks, which it is
+// designed for, costs it the majority.
+func TestTwoDisksAreLostAfterAHostWasReplaced(t *testing.T) {
+	cases := []struct {
+		name string
+		lose func(s *faultInjector) *simHost
+	}{
+		{name: "a host that doesn't lead was replaced", lose: func(s *faultInjector) *simHost { return s.hostExcept(s.currentLeader()) }},
+		{name: "the leader was replaced", lose: func(s *faultInjector) *simHost { return s.currentLeader() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uintFromEnvironment(t, "CITRONGLADE_QUORUM_REPLACEMENTS", replacementSeeds) {
+				s := &faultInjector{simulator: newSimulator(seed, 3)}
+				s.run(2 * time.Second)
+				s.addJoiningHost("h4")
+				s.addJoiningHost("h5")
+				s.runWithControl(4 * time.Second)
+				lost := c.lose(s)
+				s.loseHost(lost)
+				s.runWithControl(2 * time.Second)
+				s.requestJoinFrom(s.addHost("h6"), lost.name, s.hostExcept(s.currentLeader(), lost).name)
+				s.runWithControl(catchUp)
+				s.loseDisksAndPower(lost)
+				before := len(s.committed)
+				s.runWithControl(5 * time.Second)
+				assert.Equal(t, s.failure, "", "seed %d", seed)
+				assert.Assert(t, s.currentLeader() != nil, "seed %d", seed)
+				assert.Assert(t, len(s.committed) > before, "seed %d", seed)
+			}
+		})
+	}
+}
+
+// loseDisksAndPower crashes all hosts but the one that is lost for good, and restarts them, two without their disks.
+func (s *faultInjector) loseDisksAndPower(lost *simHost) {
+	var running []*simHost
+	for _, h := range s.hosts {
+		if h != lost {
+			running = append(running, h)
+			s.crash(h)
+		}
+	}
+	s.random.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	for i, h := range running {
+		if i < 2 {
+			s.wipe(h)
+			s.requestJoinFrom(h, running[2].name, running[3].name, lost.name)
+		} else {
+			s.boot(h)
+		}
+	}
+}
--- a/internal/control/voters/plan.go
+++ b/internal/control/voters/plan.go
@@ -20,8 +20,9 @@
 	Remove string
 }
 
-// NextChange returns the next change of the group. A host is only added while there are fewer voters than Target. A silent voter is
-// only removed if another host is ready to take its place and more than half of the voters answer.
+// NextChange returns the next change of the group. A host is added while there are fewer voters than Target, or while a voter is silent.
+// The silent voter keeps its vote until the other host has one, because it may come back with its disk and the other host may be lost
+// meanwhile. Beyond Target, silent voters are removed first.
 func NextChange(s State) Change {
 	for _, learner := range s.Learners {
 		if slices.Contains(s.Silent, learner) {
@@ -31,22 +32,20 @@
 	if len(s.Learners) > 0 {
 		return Change{} // a learner becomes a voter without a further change once it has caught up
 	}
-	candidate := firstNonMember(s.Candidates, s.Voters)
-	if candidate == "" {
-		return Change{}
-	}
-	if len(s.Voters) < s.Target {
-		return Change{Add: candidate}
-	}
 	answering := len(s.Voters) - len(s.Silent) // Silent holds only voters, since there are no learners
-	for _, silent := range s.Silent {
-		if silent != s.Self && answering > len(s.Voters)/2 {
-			return Change{Remove: silent}
+	if len(s.Voters) > s.Target {
+		if answering <= (len(s.Voters)-1)/2 {
+			return Change{}
 		}
+		return Change{Remove: firstNonMember(slices.Concat(s.Silent, s.Voters), []string{s.Self})}
+	}
+	if len(s.Voters) < s.Target || len(s.Silent) > 0 && answering > len(s.Voters)/2 {
+		return Change{Add: firstNonMember(s.Candidates, s.Voters)}
 	}
 	return Change{}
 }
 
+// firstNonMember returns the first of the hosts that isn't among the members, or an empty name.
 func firstNonMember(hosts, members []string) string {
 	for _, host := range hosts {
 		if !slices.Contains(members, host) {
