--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -68,7 +68,9 @@
 
 // Pool holds the connections to all endpoints. It is safe for concurrent use.
 type Pool struct {
-	now func() unit.Moment
+	// Dial opens a connection to an address. Tests replace it before the pool is used.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+	now  func() unit.Moment
 
 	mu        sync.Mutex
 	endpoints map[endpointAddress]*endpointConnections
@@ -92,7 +94,7 @@
 
 // New returns an empty pool.
 func New(now func() unit.Moment) *Pool {
-	return &Pool{now: now, endpoints: map[endpointAddress]*endpointConnections{}}
+	return &Pool{Dial: dial, now: now, endpoints: map[endpointAddress]*endpointConnections{}}
 }
 
 // Send sends a request and waits for the head of its answer. It fails with fault.Unreachable if no connection can be made, with
@@ -142,8 +144,9 @@
 
 // open opens a connection for which a slot is reserved.
 func (p *Pool) open(ctx context.Context, peer endpointAddress) (*connection, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: unackedTimeout, Control: setUserTimeout}
-	socket, err := dialer.DialContext(ctx, "tcp", peer.address)
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	socket, err := p.Dial(limited, peer.address)
+	cancel()
 	if err != nil {
 		p.releaseSlot(peer)
 		kind := fault.Unreachable
@@ -158,6 +161,11 @@
 	return c, nil
 }
 
+func dial(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: unackedTimeout, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
+}
+
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failure error
 	err := raw.Control(func(descriptor uintptr) {
