Serve callers of a host that reaches no endpoint through other hosts

Cause: a host forwards only to endpoints that it reaches itself, and it found out about one endpoint after the other.

--- a/internal/callers/exchange/exchange_test.go
+++ b/internal/callers/exchange/exchange_test.go
@@ -165,14 +165,18 @@
 		return strings.Replace(whole, "ok", fmt.Sprintf("%02d", connection), 1), false
 	})
 	pool := New(timer.New().Now)
-	assert.NilError(t, pool.Check(t.Context(), "e", address, 1))
+	opened, err := pool.Check(t.Context(), "e", address, 1)
+	assert.NilError(t, err)
+	assert.Assert(t, opened)
 	_, body, err := send(t, pool, address, "1")
 	assert.NilError(t, err)
 	assert.Equal(t, body, "00")
 	waitForIdle(pool)
 	for range 2 * minConnections {
-		assert.NilError(t, pool.Check(t.Context(), "e", address, 1))
+		opened, err = pool.Check(t.Context(), "e", address, 1)
+		assert.NilError(t, err)
 	}
+	assert.Assert(t, !opened)
 	assert.Equal(t, pool.endpoints[endpointAddress{"e", address}].open, minConnections)
 }
 
@@ -183,7 +187,7 @@
 	address := listener.Addr().String()
 	assert.NilError(t, listener.Close())
 	pool := New(timer.New().Now)
-	err = pool.Check(t.Context(), "e", address, 1)
+	_, err = pool.Check(t.Context(), "e", address, 1)
 	assert.Assert(t, errorx.IsOfType(err, fault.Unreachable), "%v", err)
 	assert.Equal(t, len(pool.endpoints), 0)
 }
--- a/internal/callers/exchange/pool.go
+++ b/internal/callers/exchange/pool.go
@@ -109,25 +109,25 @@
 }
 
 // Check opens a connection to an endpoint and keeps it for later requests. It fails with fault.Unreachable after two attempts. If
-// the endpoint has as many open connections as it may have, Check opens none and returns nil.
-func (p *Pool) Check(ctx context.Context, endpoint unit.EndpointID, address string, maxConnections int) error {
+// the endpoint has as many open connections as it may have, Check opens none and returns false.
+func (p *Pool) Check(ctx context.Context, endpoint unit.EndpointID, address string, maxConnections int) (opened bool, err error) {
 	peer := endpointAddress{endpoint, address}
 	if !p.reserveSlot(peer, max(maxConnections, minConnections)) {
-		return nil
+		return false, nil
 	}
 	c, err := p.open(ctx, peer)
 	if err != nil {
 		// The failure may be due to a lost packet: try once more.
 		if !p.reserveSlot(peer, max(maxConnections, minConnections)) {
-			return nil
+			return false, nil
 		}
 		c, err = p.open(ctx, peer)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	c.returnToPool(checkedIdle)
-	return nil
+	return true, nil
 }
 
 // acquire returns an idle connection or opens a new one.
--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -65,6 +65,7 @@
 	}
 	defer answer.Close()
 	r.reachedEndpoint = true
+	r.withAssigner(func(a *assign.Assigner) { a.Reached(r.h.Now(), choice.Endpoint) })
 	r.applySignals(choice, flight, answer)
 	if r.h.Wire.NotRun(answer.Status, answer.Header) {
 		return r.handleRefusal(choice, flight, answer, cancel)
@@ -195,6 +196,7 @@
 	r.h.assigner.End(r.h.Now(), flight, ending)
 	r.h.mu.Unlock()
 	if ending == assign.EndedUnreachable {
+		r.unreachable++
 		r.h.Pool.CloseIdle(choice.Endpoint)
 	}
 	cause := ""
--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -6,6 +6,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 )
 
@@ -33,6 +34,17 @@
 	ResumeAfter string
 	// Resumes is the id of the request that brought the stream's first event, empty if the caller doesn't name exactly one.
 	Resumes unit.RequestID
+	// Relayed says that another entry host handed the request over; it is nil for requests that callers sent to this host.
+	Relayed *Relayed
+}
+
+// Relayed is what the entry host that handed a request over says about it.
+type Relayed struct {
+	From         unit.HostName
+	TableVersion table.Version // the request must not be decided on by an older table
+	PossibleRuns int           // endpoints that may already have run the request
+	// Decline tells the other host that this one doesn't take the request, which has not run here.
+	Decline func(cause error)
 }
 
 // Prompt is what a caller states about its request for a language model.
--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -182,7 +182,7 @@
 // confirmServed records an answer that ended with its connection: as a complete one if the endpoint is still up, as a broken one if it is
 // down.
 func (r *request) confirmServed(choice assign.Choice) {
-	err := r.h.Pool.Check(context.Background(), choice.Endpoint, choice.Address, r.h.Connections(r.service))
+	_, err := r.h.Pool.Check(context.Background(), choice.Endpoint, choice.Address, r.h.Connections(r.service))
 	switch {
 	case err == nil:
 		r.recordServed(choice)
@@ -218,7 +218,7 @@
 
 // probe finds out whether an endpoint that broke off an answer is down, or whether only its connection was lost.
 func (h *Handler) probe(lifetime registry.Lifetime, address string, service *table.Service) {
-	err := h.Pool.Check(context.Background(), lifetime.Endpoint, address, h.Connections(service))
+	_, err := h.Pool.Check(context.Background(), lifetime.Endpoint, address, h.Connections(service))
 	if err != nil && errorx.IsOfType(err, exchange.NotListening) {
 		h.RecordCrash(lifetime, err.Error())
 	}
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -20,6 +20,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/callers/meter"
+	"github.com/citronglade/citronglade/internal/callers/relay"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/crash"
@@ -73,6 +74,9 @@
 	TryPart func(ctx context.Context, cause crashcause.Cause) bool
 	// MaxAnswerMemory limits the memory for buffered answers of all requests together, in bytes. 0 means 24 MiB.
 	MaxAnswerMemory int64
+	// Relay hands a request to another entry host and waits for the head of its answer. It fails with fault.Unreachable if no host took
+	// the request, and with fault.BrokenAnswer if an endpoint may have run it. It returns the host that was asked last.
+	Relay func(ctx context.Context, request *relay.Request) (answer *relay.Answer, host unit.HostName, err error)
 }
 
 // Handler serves callers' requests. It is safe for concurrent use.
@@ -91,6 +95,8 @@
 	storedStreams  storedStreams
 	longestTimeout map[string]time.Duration // by route name; see probablyRefusedBefore
 	permits        permitWait
+	relayRefusedAt map[table.ServiceName]unit.Moment // when no other host took a request for the service, see relayPause
+	cutOff         map[table.ServiceName]bool        // as logged last
 	running        int
 	reservedBytes  atomic.Int64 // memory for answers of all requests, at most MaxAnswerMemory
 }
@@ -108,6 +114,7 @@
 		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(),
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
+		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
 	}
 }
 
@@ -129,6 +136,7 @@
 // endpoints that may be unreachable.
 func (h *Handler) Sweep(ctx context.Context) {
 	h.cancelSilentAttempts()
+	h.logCutOff()
 	var checks []assign.Check
 	h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { checks = a.Checks(h.Now()) })
 	for _, c := range checks {
@@ -142,12 +150,22 @@
 	if service, ok := h.Table().Service(c.Service); ok {
 		most = h.Connections(service)
 	}
-	err := h.Pool.Check(ctx, c.Endpoint, c.Address, most)
+	opened, err := h.Pool.Check(ctx, c.Endpoint, c.Address, most)
 	if err == nil {
+		if opened {
+			h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { a.Reached(h.Now(), c.Endpoint) })
+		}
 		return
 	}
-	h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { a.CheckFailed(h.Now(), c.Endpoint) })
+	known := false
+	h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
+		known = a.CutOff(c.Service)
+		a.CheckFailed(h.Now(), c.Endpoint)
+	})
 	h.Pool.CloseIdle(c.Endpoint)
+	if known {
+		return // service-unreachable was logged
+	}
 	h.Log.Warn("endpoint-unreachable", "endpoint", string(c.Endpoint), "service", string(c.Service), "cause", err.Error())
 }
 
@@ -186,6 +204,8 @@
 	retryAfter      time.Duration  // sent with a refusal, 0 if there is none
 	lastChoice      *assign.Choice // the last choice of an endpoint, even if the request wasn't admitted there
 	tried           []unit.EndpointID
+	unreachable     int           // attempts whose endpoint couldn't be reached
+	relayedBy       unit.HostName // the host that the request was handed to, empty if none
 	sends           int
 	reachedEndpoint bool // an attempt has reached an endpoint, so that further ones count as retries
 	possibleRuns    int  // attempts whose endpoint may have run the request
@@ -221,10 +241,19 @@
 		h.running--
 		h.mu.Unlock()
 	}()
+	r.table = h.Table()
+	if err := r.checkTableVersion(); err != nil {
+		r.decline(err)
+		return
+	}
 	if err := r.prepare(); err != nil {
 		r.refuse(err)
 		return
 	}
+	if err := r.acceptRelayed(); err != nil {
+		r.decline(err)
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(h.Now()))
 	defer cancel()
 	if err := r.takeUp(ctx); err != nil {
@@ -236,7 +265,6 @@
 
 // prepare finds the route, the customer and the service, and reads the body.
 func (r *request) prepare() error {
-	r.table = r.h.Table()
 	if r.table == nil {
 		return fault.StaleConfiguration.New("this host has no routing table yet").WithProperty(fault.RetryAfter, startupTime)
 	}
@@ -298,6 +326,12 @@
 // sendUntilAnswered sends the request until an endpoint has answered it or no further attempt is allowed.
 func (r *request) sendUntilAnswered(ctx context.Context) {
 	for {
+		if r.needsRelay() {
+			if result := r.relay(ctx); result.done || r.headSent || !result.notRun && !r.mayRetry(ctx, result) {
+				r.endRelayed(ctx, result)
+				return
+			}
+		}
 		if err := r.checkQuarantine(ctx); err != nil {
 			r.fail(ctx, err)
 			return
@@ -306,6 +340,9 @@
 		if err != nil && r.waitForPermit(ctx) {
 			continue
 		}
+		if err != nil && r.declineUnreached(err) {
+			return
+		}
 		if err != nil {
 			r.fail(ctx, err)
 			return
--- a/internal/callers/forward/memory.go
+++ b/internal/callers/forward/memory.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
-	"github.com/citronglade/citronglade/internal/callers/exchange"
 )
 
 const (
@@ -40,7 +39,7 @@
 }
 
 // readWhole reads the body of an answer to its end. It fails with fault.BrokenAnswer.
-func (r *request) readWhole(answer *exchange.Answer) ([]byte, error) {
+func (r *request) readWhole(answer io.Reader) ([]byte, error) {
 	data := []byte{}
 	fail := func(err error) ([]byte, error) {
 		r.release(cap(data))
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -28,6 +28,12 @@
 	if len(r.tried) > 0 {
 		attributes = append(attributes, "endpoints", r.tried)
 	}
+	if r.relayedBy != "" {
+		attributes = append(attributes, "relayed-by", string(r.relayedBy))
+	}
+	if r.call.Relayed != nil {
+		attributes = append(attributes, "relayed-from", string(r.call.Relayed.From))
+	}
 	if r.route != nil && r.route.Kind == table.KindStream && r.lastChoice != nil {
 		attributes = append(attributes, "software", string(r.lastChoice.Software))
 	}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -68,6 +69,8 @@
 	// MaxAnswerMemory is passed on as forward.Dependencies.MaxAnswerMemory.
 	MaxAnswerMemory int64
 	Stopping        func() bool
+	// OpenStream sends a message to another host and returns the stream with which it answers.
+	OpenStream func(ctx context.Context, to unit.HostName, kind string, payload []byte) (io.ReadCloser, error)
 }
 
 // Gateway is the entry role of one process. It is safe for concurrent use.
@@ -97,9 +100,11 @@
 	// streamsSent is the number of the last record of a stream that the control host has; needsStreams says whether it needs them.
 	streamsSent   uint64
 	needsStreams  bool
-	trialAskedAt  unit.Moment // when the leader was last asked for a trial of a blocked part
-	connected     bool        // the last sync with a control host was successful
-	endpointsSeen atomic.Bool // at least one endpoint has been usable since the start
+	trialAskedAt  unit.Moment     // when the leader was last asked for a trial of a blocked part
+	relays        []unit.HostName // entry hosts that reach endpoints, as a control host reported last
+	connected     bool            // the last sync with a control host was successful
+	endpointsSeen atomic.Bool     // at least one endpoint has been usable since the start
+	takenRelays   atomic.Int64    // number of relayed requests that this host is serving for others
 
 	sentLoads []sentLoad   // the last load reports, used only by sync
 	applied   appliedState // used only by sync
@@ -130,6 +135,7 @@
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.EndpointProtocol, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
 		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream, TryPart: g.tryPart,
+		Relay: g.relay,
 	})
 	return g
 }
@@ -220,7 +226,9 @@
 	g.handler.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
 		own, request.Shared, request.Leaving = a.OwnLoads(now), a.TakeSharedNames(), a.Leaving()
 		wanted, request.Limits = a.WantedPermits(now), a.Limits(now, resendLimits)
+		request.Reach, request.NeedsRelays = a.Reach()
 	})
+	request.Stopping = g.Stopping()
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
 	}
@@ -311,6 +319,7 @@
 	if len(answer.ControlHosts) > 0 {
 		g.controlHosts = answer.ControlHosts
 	}
+	g.relays = answer.Relays
 	if answer.Epoch != g.hubEpoch {
 		g.numbering = &registry.Numbering{}
 		g.sentLoads = nil
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -119,6 +119,7 @@
 func (h *Hub) syncAnswer(from unit.HostName, now unit.Moment, request SyncRequest, load tally.EndpointLoads) SyncAnswer {
 	entry := h.entries[from]
 	entry.heardAt, entry.load, entry.loadNumber = now, load, request.LoadNumber
+	entry.reach, entry.stopping = request.Reach, request.Stopping
 	entry.wantedPermits = h.endpointCounts(request.WantedPermits, h.registry.ID)
 	since, holdingNumber, crashes, causes := request.RegistryNumber, request.HoldingNumber, request.CrashesRead, request.CausesRead
 	if request.Epoch != h.Incarnation {
@@ -147,6 +148,9 @@
 	}
 	answer.Permits, answer.PermitsAge = h.takePermits(now, &entry), now.Sub(h.leaderHeardAt)
 	h.entries[from] = entry
+	if request.NeedsRelays {
+		answer.Relays = h.relaysFor(now, from)
+	}
 	answer.EntryHosts = h.entryHostCount(now)
 	answer.Updating, answer.Upcoming = h.updating(now)
 	if h.tablePage.Version > request.TableVersion {
@@ -246,7 +250,10 @@
 	if err != nil {
 		return err
 	}
-	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, loads: tally.EndpointLoads{}}
+	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, loads: tally.EndpointLoads{}, relays: known.relays, relaysAt: known.relaysAt}
+	if len(state.Relays) > 0 {
+		updated.relays, updated.relaysAt = state.Relays, now
+	}
 	if state.Leader {
 		h.leaderHeardAt = now
 	}
@@ -276,7 +283,7 @@
 	}
 	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits, state.Causes, state.Streams = nil, nil, crashcause.Update{}, nil
+	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays = nil, nil, crashcause.Update{}, nil, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -27,6 +27,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/parttrial"
@@ -124,6 +125,7 @@
 	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
 	storeAddress       string                               // address of the store in the table with storeTableVersion
 	storeTableVersion  table.Version
+	relaysSentAt       unit.Moment
 	savedEndpoints     uint64 // content number of the registry at the last save
 	unsavedBookChanges int    // number of changes of the decisions since the last save
 	// savedCrashes and savedCauses are the numbers of the last changes of crashes and crashCauses at the last save.
@@ -139,6 +141,8 @@
 	heardAt        unit.Moment
 	wantedPermits  map[unit.EndpointID]int
 	granted        map[unit.EndpointID][]permit.Batch // not yet sent
+	reach          assign.Reach
+	stopping       bool
 }
 
 // loadSum is the load of all entry hosts together, by the indexes of the registry. It is computed once for all entry hosts that ask.
@@ -159,6 +163,8 @@
 	readCrashes  uint64                  // number of the peer's last change of crashes that this host has read
 	readCauses   uint64                  // number of the peer's last change of crashCauses that this host has read
 	wanted       map[unit.EndpointID]int // permits that the peer's entry hosts want
+	relays       []unit.HostName         // entry hosts that reach endpoints, as sent last, at relaysAt
+	relaysAt     unit.Moment
 }
 
 // New returns a hub with the state that was saved before the last stop. Run starts it.
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -49,6 +49,11 @@
 	CausesRead uint64            `cbor:"14,keyasint,omitempty"`
 	// Streams are the origins of streams that the hub hasn't received from this host yet.
 	Streams []streamorigin.Batch `cbor:"15,keyasint,omitempty"`
+	// Reach says how many of the services the host reaches. NeedsRelays is set while it may be cut off from one of them.
+	Reach       assign.Reach `cbor:"16,keyasint,omitempty"`
+	NeedsRelays bool         `cbor:"17,keyasint,omitempty"`
+	// Stopping is set while the host is stopping and takes no relayed requests.
+	Stopping bool `cbor:"18,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -87,6 +92,8 @@
 	Causes crashcause.Update `cbor:"18,keyasint"`
 	// NeedsStreams is set if the hub must know the origins of the host's streams.
 	NeedsStreams bool `cbor:"19,keyasint,omitempty"`
+	// Relays are entry hosts that reach endpoints, if the host needs any.
+	Relays []unit.HostName `cbor:"20,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -127,6 +134,8 @@
 	ReadCauses  uint64            `cbor:"23,keyasint,omitempty"`
 	// Streams are copies of the origins of streams that the sender's entry hosts have reported.
 	Streams []streamorigin.Batch `cbor:"24,keyasint,omitempty"`
+	// Relays are some of the entry hosts that sync with the sender and reach the endpoints. They are sent every relaysInterval only.
+	Relays []unit.HostName `cbor:"25,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -25,6 +25,7 @@
 	"github.com/citronglade/citronglade/internal/host/hub"
 	"github.com/citronglade/citronglade/internal/network/identity"
 	"github.com/citronglade/citronglade/internal/network/keys"
+	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/network/link"
 )
 
@@ -32,6 +33,8 @@
 	// linkIdleTimeout is the silence after which a link to another host is closed, for example during a network partition. Hosts
 	// that are connected send each other messages several times a second.
 	linkIdleTimeout = 1500 * time.Millisecond
+	// drainPollInterval is the time between two checks whether requests are still running while the host stops.
+	drainPollInterval = 20 * time.Millisecond
 	// drainShare is the fraction of the stop's grace period in which a host that reports that it isn't ready still accepts requests,
 	// so that the load balancer has noticed before connections are refused.
 	drainShare = 0.3
@@ -99,6 +102,7 @@
 	p.link, err = link.New(link.Options{
 		Name: s.Name, Listen: p.linkAddress(s.Name), Identity: own, Handler: p.handleMessage, IdleTimeout: linkIdleTimeout,
 		Resolve: func(name unit.HostName) (string, bool) { return p.linkAddress(name), net.ParseIP(string(name)) != nil },
+		Streams: map[string]link.StreamHandler{kind.Relay: p.serveRelayed},
 	})
 	if err != nil {
 		return nil, err
@@ -116,6 +120,7 @@
 		p.gateway = gateway.New(gateway.Dependencies{
 			Name: s.Name, Seeds: s.Seeds.Names, Timer: p.timer, Log: p.log, Call: p.link.Call, EndpointProtocol: protocol.EndpointProtocol,
 			Allowance: s.Allowance, Assign: s.Assign, MaxAnswerMemory: int64(answerMemoryShare * float64(s.MemoryBytes)), Stopping: p.stopping.Load,
+			OpenStream: p.link.OpenStream,
 		})
 		if err := p.listen(s.CallerAddress, protocol.Callers(p.gateway.Handler(), p.stopping.Load, p.timer.Now), true); err != nil {
 			return err
@@ -170,6 +175,14 @@
 	return p.hub.Handle(ctx, from, name, payload)
 }
 
+// serveRelayed passes a request that another entry host handed over to the entry role. Without that role it fails with fault.NotFound.
+func (p *Process) serveRelayed(ctx context.Context, from unit.HostName, payload []byte, answer link.StreamWriter) error {
+	if p.gateway == nil {
+		return fault.NotFound.New("a control host takes no callers' requests")
+	}
+	return p.gateway.ServeRelayed(ctx, from, payload, answer)
+}
+
 // Run serves until ctx ends, then stops after the running requests have ended, or aborts them when the stop's grace period is nearly
 // over.
 func (p *Process) Run(ctx context.Context) error {
@@ -263,6 +276,9 @@
 			p.log.Warn("requests-cut", "running", p.gateway.Handler().Running(), "cause", err.Error())
 		}
 	}
+	// Requests that other hosts have handed over aren't known to the HTTP servers.
+	for p.gateway.Handler().Running() > 0 && timer.Sleep(ctx, drainPollInterval) {
+	}
 }
 
 // LogReloadFailure logs that the changed settings can't be used. The previous settings stay in force.
--- a/internal/network/kind/kind.go
+++ b/internal/network/kind/kind.go
@@ -44,6 +44,8 @@
 	// PartTrial is a call with a parttrial.Query that an entry host makes to the leader of group 0; the answer says whether the request may
 	// be sent.
 	PartTrial = "part-trial"
+	// Relay is a call with a relay.Request that an entry host makes to another one; the answer is a stream of the package relay.
+	Relay = "relay"
 	// BookCommand is a call with a decisions.Command for the leader of group 0.
 	BookCommand = "book-command"
 	// BookRead is a call for the leader of group 0; the answer is a decisions.AcceptedTable.
--- a/internal/network/link/link.go
+++ b/internal/network/link/link.go
@@ -42,6 +42,16 @@
 // Handler handles one incoming call or one-way message from the host named from. The answer to a one-way message is ignored.
 type Handler func(ctx context.Context, from unit.HostName, kind string, payload []byte) ([]byte, error)
 
+// StreamHandler handles one incoming call that the host named from answers with a stream of bytes. The stream ends when it returns. After
+// an error the caller gets no regular end.
+type StreamHandler func(ctx context.Context, from unit.HostName, payload []byte, answer StreamWriter) error
+
+// StreamWriter is the writing end of an answer's stream. A caller that reads slowly holds up its writes.
+type StreamWriter interface {
+	io.Writer
+	SetWriteDeadline(at time.Time) error
+}
+
 // Options configure a Link.
 type Options struct {
 	// Name is this host's name, as in its certificate.
@@ -56,6 +66,8 @@
 	IdleTimeout time.Duration
 	Identity    *identity.Identity
 	Handler     Handler
+	// Streams are the handlers of the kinds of calls that are answered with a stream.
+	Streams map[string]StreamHandler
 }
 
 // Link manages the connections between this process and its peers. It is safe for concurrent use.
@@ -369,6 +381,10 @@
 		stream.CancelWrite(0)
 		return
 	}
+	if handler, ok := l.options.Streams[request.Kind]; ok {
+		l.serveStream(from, stream, handler, request.Payload)
+		return
+	}
 	payload, err := l.handle(stream.Context(), from, request)
 	answer := envelope{Payload: payload}
 	if err != nil {
--- a/internal/network/link/link_test.go
+++ b/internal/network/link/link_test.go
@@ -255,3 +255,54 @@
 }
 
 var errNotCalled = fault.Internal.New("not called yet")
+
+// Guards against streams whose reader doesn't learn that they broke off, or whose handler doesn't learn that the reader has left.
+func TestStreams(t *testing.T) {
+	left := make(chan struct{})
+	streams := map[string]StreamHandler{
+		"whole": func(_ context.Context, from unit.HostName, payload []byte, answer StreamWriter) error {
+			_, err := answer.Write(append([]byte(from+" "), payload...))
+			return err
+		},
+		"broken": func(_ context.Context, _ unit.HostName, _ []byte, answer StreamWriter) error {
+			_, _ = answer.Write([]byte("part"))
+			return fault.BrokenAnswer.New("the rest is lost")
+		},
+		"endless": func(ctx context.Context, _ unit.HostName, _ []byte, answer StreamWriter) error {
+			_, _ = answer.Write([]byte("part"))
+			<-ctx.Done()
+			close(left)
+			return ctx.Err()
+		},
+	}
+	folder := makeKeys(t, keys.RoleHost, day, "a", "b")
+	own, err := identity.New(folder, "b", time.Now)
+	assert.NilError(t, err)
+	b, err := New(Options{Name: "b", Listen: "127.0.0.1:0", Identity: own, Handler: echo, Streams: streams})
+	assert.NilError(t, err)
+	go func() { _ = b.Run(t.Context()) }()
+	a := startLink(t, folder, "a", map[unit.HostName]string{"b": b.Address(), "gone": "127.0.0.1:1"}, echo)
+
+	whole, err := a.OpenStream(t.Context(), "b", "whole", []byte("x"))
+	assert.NilError(t, err)
+	data, err := io.ReadAll(whole)
+	assert.NilError(t, err)
+	assert.Equal(t, string(data), "a x")
+	assert.NilError(t, whole.Close())
+
+	broken, err := a.OpenStream(t.Context(), "b", "broken", nil)
+	assert.NilError(t, err)
+	_, err = io.ReadAll(broken)
+	assert.Assert(t, errorx.IsOfType(err, fault.BrokenAnswer), "%v", err)
+	assert.NilError(t, broken.Close())
+
+	endless, err := a.OpenStream(t.Context(), "b", "endless", nil)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(endless, make([]byte, 4))
+	assert.NilError(t, err)
+	assert.NilError(t, endless.Close())
+	<-left
+
+	_, err = a.OpenStream(t.Context(), "gone", "whole", nil)
+	assert.Assert(t, errorx.IsOfType(err, fault.Unreachable), "%v", err)
+}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -4,6 +4,7 @@
 package assign
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -87,6 +88,7 @@
 	// storeFetches is the rate at which this host's requests fetch from the cache store, in bytes per second.
 	storeFetches decayingRate
 	sharedParts  sharedNames
+	contacts     map[table.ServiceName]*contact
 }
 
 // Attempt is an attempt of a request at an endpoint.
@@ -106,6 +108,7 @@
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		weightsHistory: map[unit.ModelName][]announcedWeights{}, serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
+		contacts: map[table.ServiceName]*contact{},
 	}
 }
 
@@ -131,6 +134,7 @@
 		services[e.Service] = append(services[e.Service], r)
 	}
 	a.replicas, a.services = kept, services
+	maps.DeleteFunc(a.contacts, func(service table.ServiceName, _ *contact) bool { return len(services[service]) == 0 })
 }
 
 func (r *replica) refresh(e registry.Endpoint, engine *table.Engine) {
@@ -194,6 +198,9 @@
 	for id, r := range a.replicas {
 		load := r.own
 		load.ReachableBy, load.UnreachableBy = r.reachability(now)
+		if r.others.ReachableBy > 0 && a.CutOff(r.Service) {
+			load.UnreachableBy = 0 // the endpoint isn't at fault
+		}
 		if load != (Load{}) {
 			own[id] = load
 		}
@@ -374,7 +381,7 @@
 		return
 	}
 	f.answering = true
-	f.replica.lastByteAt = now
+	a.heard(now, f.replica)
 	if f.work.HasPrompt {
 		a.learnFirstByte(f, now.Sub(f.sentAt))
 	}
@@ -428,10 +435,16 @@
 // RecordActivity records that the endpoint of the attempt sent something.
 func (a *Assigner) RecordActivity(now unit.Moment, f *Attempt) {
 	if f != nil {
-		f.replica.lastByteAt = now
+		a.heard(now, f.replica)
 	}
 }
 
+// heard records that the endpoint sent something.
+func (a *Assigner) heard(now unit.Moment, r *replica) {
+	r.lastByteAt = now
+	a.contactOf(r.Service).heardAt = now
+}
+
 // End records the end of the attempt.
 func (a *Assigner) End(now unit.Moment, f *Attempt, ending Ending) {
 	if f == nil || f.ended {
@@ -442,9 +455,13 @@
 	delete(r.flights, f)
 	r.own = r.own.Sub(f.load)
 	r.recordEnding(now, ending)
-	if ending == EndedComplete {
-		r.lastByteAt = now
+	switch ending {
+	case EndedComplete:
+		a.heard(now, r)
 		a.learnDuration(f, now.Sub(f.sentAt))
+	case EndedUnreachable:
+		a.notConnected(now, r)
+	case EndedBroken, EndedFailed, EndedFull, EndedMismatch, EndedSilent, EndedByCaller:
 	}
 	if ending == EndedUnreachable || ending == EndedBroken && !f.answering {
 		// The address may now belong to a new process with an empty cache.
--- a/internal/routing/assign/reachability.go
+++ b/internal/routing/assign/reachability.go
@@ -30,9 +30,9 @@
 }
 
 // Checks returns the endpoints that should be checked now: those at which a request has waited longer than expected while the
-// endpoint sent nothing.
+// endpoint sent nothing, and some of each service from which this host may be cut off.
 func (a *Assigner) Checks(now unit.Moment) []Check {
-	var checks []Check
+	checks := a.probes(now)
 	for _, r := range a.replicas {
 		if now.Sub(r.checkedAt) < checkInterval {
 			continue
@@ -52,6 +52,7 @@
 func (a *Assigner) CheckFailed(now unit.Moment, id unit.EndpointID) {
 	if r, ok := a.replicas[id]; ok {
 		r.recordEnding(now, EndedUnreachable)
+		a.notConnected(now, r)
 	}
 }
 
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -68,6 +68,7 @@
 	pausedUntil         unit.Moment
 	unreachableAt       unit.Moment // when the endpoint was last unreachable or silent
 	checkedAt           unit.Moment // when the last check began
+	connectFailedAt     unit.Moment // when a connection last couldn't be made
 	lastByteAt          unit.Moment // when the endpoint last sent something
 	crashedAt           unit.Moment // when the endpoint's process was found to have ended
 	leaving             bool        // an answer said that the endpoint leaves
