Don't take a partition for crashes of endpoints

Callers saw: nothing yet; found while looking for the cause of RECOVER elsewhere.

Cause: when an answer breaks off, the host checks whether the endpoint is down, and takes a refused connection for a crash. A host that is partitioned from all endpoints with resets and refused connections thus reports a crash of each of them. Two suffice for all hosts to refuse the content that was running there for ten minutes; three crashes block parts of prompts.

Change: a refused connection counts only if the host can connect to one of the three other endpoints that it heard most recently. Without that the crash is still found out by the report of the endpoint's next lifetime.

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -20,8 +20,12 @@
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
+	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 )
 
+// maxOthersChecked is the number of other endpoints to which a host tries to connect before it takes itself for partitioned.
+const maxOthersChecked = 3
+
 // doubtfulRetryAfter is the least time after which a caller may try again a request with a blocked part that may be harmless.
 const doubtfulRetryAfter = 2 * time.Second
 
@@ -187,7 +191,7 @@
 	case err == nil:
 		r.recordServed(choice)
 	case errorx.IsOfType(err, exchange.NotListening):
-		r.recordBroken(choice, assign.EndedBroken)
+		r.recordBroken(choice, assign.EndedBroken) // which checks whether this host reaches other endpoints
 	}
 }
 
@@ -219,11 +223,28 @@
 // probe finds out whether an endpoint that broke off an answer is down, or whether only its connection was lost.
 func (h *Handler) probe(lifetime registry.Lifetime, address string, service *table.Service) {
 	_, err := h.Pool.Check(context.Background(), lifetime.Endpoint, address, h.Connections(service))
-	if err != nil && errorx.IsOfType(err, exchange.NotListening) {
+	if err != nil && errorx.IsOfType(err, exchange.NotListening) && h.reachesOthers(lifetime.Endpoint) {
 		h.RecordCrash(lifetime, err.Error())
 	}
 }
 
+// reachesOthers reports whether this host can connect to another endpoint than the given one. If it can't, it may be partitioned from all of
+// them, and a refused connection doesn't show that the endpoint is down. Without another endpoint it returns true.
+func (h *Handler) reachesOthers(except unit.EndpointID) bool {
+	var others []assign.Check
+	h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { others = a.OtherEndpoints(except, maxOthersChecked) })
+	for _, c := range others {
+		most := 0
+		if service, ok := h.Table().Service(c.Service); ok {
+			most = h.Connections(service)
+		}
+		if opened, err := h.Pool.Check(context.Background(), c.Endpoint, c.Address, most); err == nil && opened {
+			return true
+		}
+	}
+	return len(others) == 0
+}
+
 // SuspectLifetimes returns the lifetimes of endpoints at which answers broke off recently.
 func (h *Handler) SuspectLifetimes() []registry.Lifetime {
 	now := h.Now()
--- a/internal/routing/assign/cut_off.go
+++ b/internal/routing/assign/cut_off.go
@@ -91,6 +91,22 @@
 	}
 }
 
+// OtherEndpoints returns up to the given number of endpoints, other than one, that were heard most recently.
+func (a *Assigner) OtherEndpoints(except unit.EndpointID, most int) []Check {
+	others := make([]*replica, 0, len(a.replicas))
+	for _, id := range slices.Sorted(maps.Keys(a.replicas)) {
+		if id != except {
+			others = append(others, a.replicas[id])
+		}
+	}
+	slices.SortStableFunc(others, func(x, y *replica) int { return cmp.Compare(y.lastByteAt, x.lastByteAt) })
+	checks := make([]Check, 0, most)
+	for _, r := range others[:min(len(others), most)] {
+		checks = append(checks, Check{r.ID, r.Service, r.Address})
+	}
+	return checks
+}
+
 // Reached records that the endpoint accepted a connection or answered a request, even if it refused to run it.
 func (a *Assigner) Reached(now unit.Moment, id unit.EndpointID) {
 	if r, ok := a.replicas[id]; ok {
