--- a/internal/base/codec/codec.go
+++ b/internal/base/codec/codec.go
@@ -51,6 +51,8 @@
 		MaxNestedLevels:  maxNestedLevels,
 		MaxArrayElements: maxArrayElements,
 		MaxMapPairs:      maxMapPairs,
+		// The encoder doesn't check text, and one bad name from outside must not make a whole message unreadable.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
--- a/internal/base/codec/codec_test.go
+++ b/internal/base/codec/codec_test.go
@@ -26,6 +26,16 @@
 	}
 }
 
+// Guards against a text from outside that can be encoded but makes the whole message unreadable.
+func TestTextThatIsNotUTF8ComesBack(t *testing.T) {
+	value := sample{Name: "\xff\xfe", Pairs: map[string]uint64{"\xc3": 1}}
+	data, err := Marshal(value)
+	assert.NilError(t, err)
+	var again sample
+	assert.NilError(t, Unmarshal(data, &again))
+	assert.DeepEqual(t, again, value)
+}
+
 // Guards against invalid data that crashes the decoder or gives an error without a fault type.
 func FuzzUnmarshal(f *testing.F) {
 	good, err := Marshal(sample{Name: "a"})
