Go on with a broken stream only with a stream

Cause: when a stream has begun and breaks off, the next endpoint's answer was taken as its continuation if it had status 200, whatever its type. A body that looks like an event was forwarded, and its end ended the stream. Errors and refusals, heads in pieces, bytes that aren't an answer, answers to other requests and no endpoint at all ended the stream as broken before, too.

Change: a stream goes on only with an answer whose type is text/event-stream.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -76,6 +77,11 @@
 		r.endAttempt(flight, choice, assign.EndedFailed, err)
 		return attemptResult{err: err}
 	}
+	if r.headSent && !isEventStream(answer.Header) {
+		err := fault.BrokenAnswer.New("%s answered the resumed stream with something else", choice.Endpoint)
+		r.endAttempt(flight, choice, assign.EndedFailed, err)
+		return attemptResult{err: err}
+	}
 	if answer.Status < http.StatusMultipleChoices && !r.h.Wire.FromEndpoint(answer.Header) {
 		err := fault.BrokenAnswer.New("%s sent a success without the header that marks an endpoint's own answers", choice.Endpoint)
 		r.endAttempt(flight, choice, assign.EndedBroken, err)
@@ -96,6 +102,12 @@
 	return r.forwardWhole(ctx, attemptContext, choice, flight, answer)
 }
 
+// isEventStream reports whether a header says that the body is a stream of server-sent events.
+func isEventStream(header http.Header) bool {
+	kind, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && kind == "text/event-stream"
+}
+
 func (r *request) withAssigner(use func(*assign.Assigner)) {
 	r.h.mu.Lock()
 	defer r.h.mu.Unlock()
