Emulator: brittle engines

The setting and flag `brittle` make an emulated engine say that it is brittle, let no request wait for a slot and crash when it has to reject more requests in a second than it names. Hosts of `citronglade host` don't read the header, as with `request-limit`.

--- a/internal/command/emulate/emulate.go
+++ b/internal/command/emulate/emulate.go
@@ -59,6 +59,7 @@
 func engineFlags() []cli.Flag {
 	return []cli.Flag{
 		&cli.StringFlag{Name: "weights", Usage: "weights version at the start", Value: "w1"},
+		&cli.FloatFlag{Name: "brittle", Usage: "rejections/s that engines name in their answers and beyond which they crash; 0 names none"},
 		&cli.StringFlag{Name: "software", Usage: "software version to announce; engines of different versions write different texts"},
 		&cli.IntFlag{Name: "cache-pieces", Usage: "pieces that one engine's cache holds", Value: 64},
 		&cli.IntFlag{Name: "piece-tokens", Usage: "tokens of one piece", Value: 2000},
@@ -148,7 +149,7 @@
 			Slots: c.Int("slots"), CachePieces: c.Int("cache-pieces"), PieceTokens: unit.Tokens(c.Int("piece-tokens")),
 			PrefillRate: c.Float("prefill-rate"), WeightStore: weightStore, HonoursFencing: !c.Bool("ignore-fencing"),
 			Store: c.String("store"), PoisonMarker: c.String("poison"), TimeScale: c.Float("time-scale"), Seed: uint64(i),
-			Settings: engine.Settings{RequestLimit: c.Float("request-limit")},
+			Settings: engine.Settings{RequestLimit: c.Float("request-limit"), Brittle: c.Float("brittle")},
 		}))
 	}
 	return list
--- a/internal/emulator/engine/completion.go
+++ b/internal/emulator/engine/completion.go
@@ -49,6 +49,7 @@
 	w.Header().Set("Citronglade-Incarnation", strconv.FormatUint(uint64(e.state.incarnation), 10))
 	w.Header().Set("Citronglade-Weights", string(e.weights.current))
 	e.requestLimit.Apply(w.Header(), e.settings.RequestLimit)
+	e.brittleness.Apply(w.Header(), e.settings.Brittle)
 }
 
 // admit adds a request to the queue, or refuses it before any of it is executed and returns false.
@@ -86,11 +87,23 @@
 		return http.StatusServiceUnavailable, "loading"
 	case weights != "" && weights != string(e.weights.current):
 		return http.StatusConflict, "weights"
+	case e.settings.Brittle > 0 && e.isFull():
+		if e.brittleness.Reject(time.Now(), e.settings.Brittle) {
+			go e.Crash()
+		}
+		return http.StatusServiceUnavailable, "full"
 	default:
 		return 0, ""
 	}
 }
 
+// isFull reports whether all slots are taken. A brittle engine lets no request wait.
+func (e *Emulator) isFull() bool {
+	e.state.mu.Lock()
+	defer e.state.mu.Unlock()
+	return e.state.running+e.state.queued >= e.options.Slots
+}
+
 func (e *Emulator) process(ctx context.Context, s *incarnationState, j *job, w http.ResponseWriter) error {
 	arrived := time.Now()
 	err := s.slots.acquire(ctx, j.rank)
--- a/internal/emulator/engine/emulator.go
+++ b/internal/emulator/engine/emulator.go
@@ -14,6 +14,7 @@
 // Emulator is one engine. It is safe for concurrent use.
 type Emulator struct {
 	requestLimit         harness.RequestLimit
+	brittleness          harness.Brittleness
 	options              Options
 	listener             *harness.Listener
 	announcer            *harness.Announcer
--- a/internal/emulator/engine/engine_test.go
+++ b/internal/emulator/engine/engine_test.go
@@ -478,3 +478,19 @@
 	group.Wait()
 	assert.Equal(t, e.Counters().Finished, int64(1600))
 }
+
+// Guards against a brittle engine that lets requests wait, doesn't say that it is brittle, or survives any number of rejections.
+func TestABrittleEngineCrashesAfterTooManyRejections(t *testing.T) {
+	e := start(t, Options{Slots: 1, Settings: Settings{Brittle: 2}})
+	go func() { _, _, _ = send(t, e, "/v1/completions", completion("long", 100_000), nil) }()
+	poll.WaitOn(t, countersReach(e, func(c Counters) bool { return c.Running == 1 }), pollOptions...)
+	for range 2 {
+		response, _, err := send(t, e, "/v1/completions", completion("p", 1), nil)
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusServiceUnavailable)
+		assert.Equal(t, response.Header.Get("Citronglade-Brittle"), "2")
+	}
+	assert.Equal(t, e.Counters().Crashes, int64(0))
+	_, _, _ = send(t, e, "/v1/completions", completion("p", 1), nil) // the crash may cut its answer off
+	poll.WaitOn(t, countersReach(e, func(c Counters) bool { return c.Crashes == 1 }), pollOptions...)
+}
--- a/internal/emulator/engine/options.go
+++ b/internal/emulator/engine/options.go
@@ -68,6 +68,7 @@
 	EventLoss     float64          `json:"event-loss"`      // fraction of the event batches that are dropped, 0 to 1
 	Silent        bool             `json:"silent"`          // stop announcing
 	RequestLimit  float64          `json:"request-limit"`   // requests/s from all hosts together, named in all answers; 0 names none
+	Brittle       float64          `json:"brittle"`         // rejections/s beyond which the engine crashes, named in all answers; no request waits then; 0 names none
 }
 
 func (o Options) withDefaults() Options {
