Try a part that probably crashes its engine only while no other trial runs

Cause: up to four trials ran at a time, whatever was known of their parts.

Change: a part with crashes that only it explains, or a request with rivals, is tried alone, and no other trial begins for a second meanwhile.

--- a/internal/routing/parttrial/schedule.go
+++ b/internal/routing/parttrial/schedule.go
@@ -37,6 +37,7 @@
 type trials struct {
 	grantedAt unit.Moment // the last one
 	ended     bool        // the last one has a result
+	risky     bool        // the last one will probably crash its engine
 	failures  int
 }
 
@@ -55,7 +56,7 @@
 // Grant reports whether one request may be sent to an engine now although a part of it is blocked.
 func (s *Schedule) Grant(now unit.Moment, q Query, causes *crashcause.Register) bool {
 	part := q.Part
-	recent := s.settle(now, causes)
+	recent, risky := s.settle(now, causes)
 	cause, blocked := causes.Check(now, []crashcause.PartID{part})
 	lastCrash, _ := causes.LastCrash()
 	doubts := time.Duration(cause.OwnCrashes) + time.Duration(min(q.Rivals, maxRivals)) //nolint:gosec // bounded
@@ -64,6 +65,9 @@
 		return false
 	case now.Sub(lastCrash) < quietTime+doubts*doubtTime:
 		return false
+	case risky || doubts > 0 && recent > 0:
+		// Several crashes at once would leave few engines, and break off the trials of harmless parts there.
+		return false
 	}
 	known := s.trials[part]
 	if known == nil {
@@ -76,12 +80,13 @@
 	if known.failures >= maxFailures || !known.ended && now.Sub(known.grantedAt) < trialTimeout {
 		return false
 	}
-	known.grantedAt, known.ended = now, false
+	known.grantedAt, known.ended, known.risky = now, false, doubts > 0
 	return true
 }
 
-// settle records the results of trials and returns the number of recent ones without a result.
-func (s *Schedule) settle(now unit.Moment, causes *crashcause.Register) (recent int) {
+// settle records the results of trials and returns the number of recent ones without a result, and whether one of these will probably crash
+// its engine.
+func (s *Schedule) settle(now unit.Moment, causes *crashcause.Register) (recent int, risky bool) {
 	for part, t := range s.trials {
 		cause, blocked := causes.Check(now, []crashcause.PartID{part})
 		switch {
@@ -93,7 +98,8 @@
 			t.failures++
 		case now.Sub(t.grantedAt) < recentTime:
 			recent++
+			risky = risky || t.risky
 		}
 	}
-	return recent
+	return recent, risky
 }
--- a/internal/routing/parttrial/schedule_test.go
+++ b/internal/routing/parttrial/schedule_test.go
@@ -87,6 +87,15 @@
 		{name: "beside one of another part", run: func(s *Schedule, r *crashcause.Register) {
 			s.Grant(at(quiet-time.Second), Query{Part: subject}, r)
 		}, part: subject2, at: quiet, granted: true},
+		{name: "not beside one that probably crashes its engine", run: func(s *Schedule, r *crashcause.Register) {
+			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: deadly2}, r))
+		}, part: subject, at: quiet + 10*time.Second + 500*time.Millisecond},
+		{name: "after one that probably crashed its engine", run: func(s *Schedule, r *crashcause.Register) {
+			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: deadly2}, r))
+		}, part: subject, at: quiet + 12*time.Second, granted: true},
+		{name: "one that probably crashes its engine, not beside another one", run: func(s *Schedule, r *crashcause.Register) {
+			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: subject}, r))
+		}, part: deadly2, at: quiet + 10*time.Second + 500*time.Millisecond},
 		{name: "after one that crashed with a deadly part", run: func(s *Schedule, r *crashcause.Register) {
 			s.Grant(at(quiet), Query{Part: subject}, r)
 			crash(r, 21, subject, deadly)
