--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -7,14 +7,10 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/joomcode/errorx"
-
-	"github.com/citronglade/citronglade/internal/admission/retryafter"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -420,81 +416,6 @@
 	return r.route.Repeatable() && r.possibleRuns < r.route.MaxEndpoints
 }
 
-// fail ends a request that no endpoint has answered completely. If a part of a stream has been forwarded, it aborts the caller's
-// connection, so that the caller doesn't take the stream for complete.
-func (r *request) fail(ctx context.Context, err error) {
-	switch {
-	case r.headSent:
-		r.log("broken", err)
-		r.measure(unit.OutcomeUnknown, "broken")
-		panic(http.ErrAbortHandler)
-	case ctx.Err() != nil && errorx.IsOfType(err, fault.CallerLeft):
-		r.log("caller-left", err)
-		r.measure(unit.OutcomeUnknown, fault.Name(err))
-	case r.fallback != nil:
-		r.writeWhole(r.fallback)
-		r.log("failed-by-endpoint", err)
-		r.measure(unit.OutcomeDone, "failed-by-endpoint")
-	case r.possibleRuns > 0:
-		status := http.StatusBadGateway
-		if r.h.Now() >= r.deadline {
-			status = http.StatusGatewayTimeout
-		}
-		r.log("failed", err)
-		r.measure(unit.OutcomeUnknown, fault.Name(err))
-		r.writeText(status, err)
-	default:
-		r.refuse(err)
-	}
-}
-
-// refuse answers a request that did not run.
-func (r *request) refuse(err error) {
-	status := http.StatusServiceUnavailable
-	switch {
-	case errorx.IsOfType(err, fault.NotFound):
-		status = http.StatusNotFound
-	case errorx.IsOfType(err, fault.Unauthenticated):
-		status = http.StatusUnauthorized
-	case errorx.IsOfType(err, fault.BadInput):
-		status = http.StatusBadRequest
-	case errorx.IsOfType(err, fault.TooLarge):
-		status = http.StatusRequestEntityTooLarge
-	case errorx.IsOfType(err, fault.CallerLeft):
-		r.log("caller-left", err)
-		return
-	}
-	if status == http.StatusServiceUnavailable {
-		room, _ := fault.RetryAfterOf(err) // 0 if unknown
-		r.retryAfter = room
-		if !errorx.IsOfType(err, fault.Quarantined) && !errorx.IsOfType(err, fault.Unresumable) {
-			r.retryAfter = retryafter.Refusal{UntilCapacity: room, Remaining: r.timeLeft(), Draw: rand.Float64()}.After()
-		}
-		r.w.Header().Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
-	}
-	r.log("refused", err)
-	r.measure(unit.OutcomeNotRun, fault.Name(err))
-	r.writeText(status, err)
-}
-
-// timeLeft returns how much longer the caller waits.
-func (r *request) timeLeft() time.Duration {
-	timeout := r.call.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	return max(0, timeout-r.h.Now().Sub(r.call.Arrived))
-}
-
-func (r *request) writeText(status int, err error) {
-	text := fault.Name(err) + "\n"
-	header := r.w.Header()
-	header.Set("Content-Type", "text/plain; charset=utf-8")
-	header.Set("Content-Length", strconv.Itoa(len(text)))
-	r.w.WriteHeader(status)
-	_, _ = r.w.Write([]byte(text)) // an error means that the caller has disconnected
-}
-
 // priority returns the priority of the request, 0 for the most urgent. The customer's priority, if set, overrides the route's.
 func (r *request) priority() int {
 	if r.customer != nil && r.customer.Priority != nil {
--- a/internal/network/link/link.go
+++ b/internal/network/link/link.go
@@ -218,15 +218,10 @@
 	if !ok {
 		return nil, fault.NotFound.New("host %q isn't in the settings", to)
 	}
-	connection, err := l.connect(ctx, p)
+	connection, stream, err := l.openStream(ctx, p)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := connection.OpenStreamSync(ctx)
-	if err != nil {
-		p.drop(connection)
-		return nil, fault.Unreachable.Wrap(err, "cannot open a stream to %s", to)
-	}
 	stop := context.AfterFunc(ctx, func() {
 		stream.CancelRead(0)
 		stream.CancelWrite(0)
@@ -241,6 +236,20 @@
 	return answer, err
 }
 
+// openStream opens a stream to p. It fails with fault.Unreachable.
+func (l *Link) openStream(ctx context.Context, p *peer) (*quic.Conn, *quic.Stream, error) {
+	connection, err := l.connect(ctx, p)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := connection.OpenStreamSync(ctx)
+	if err != nil {
+		p.drop(connection)
+		return nil, nil, fault.Unreachable.Wrap(err, "cannot open a stream to %s", p.name)
+	}
+	return connection, stream, nil
+}
+
 // Send queues a one-way message for the host named to. It never blocks; the message is lost when the queue is full or the
 // peer can't be reached.
 func (l *Link) Send(to unit.HostName, kind string, payload []byte) {
--- a/internal/network/link/stream.go
+++ b/internal/network/link/stream.go
@@ -22,15 +22,10 @@
 	if !ok {
 		return nil, fault.Unreachable.New("the address of host %q isn't known", to)
 	}
-	connection, err := l.connect(ctx, p)
+	_, stream, err := l.openStream(ctx, p)
 	if err != nil {
 		return nil, err
 	}
-	stream, err := connection.OpenStreamSync(ctx)
-	if err != nil {
-		p.drop(connection)
-		return nil, fault.Unreachable.Wrap(err, "cannot open a stream to %s", to)
-	}
 	answer := &answerStream{link: l, stream: stream}
 	answer.stop = context.AfterFunc(ctx, answer.abort)
 	written, err := writeFrame(stream, envelope{Kind: kind, Payload: payload})
