Find out once for each service whether this host is cut off when loads are told

The load of each endpoint was told after a look at all endpoints of its service, while the service is in doubt: 360,000 comparisons for 600 endpoints, 20 times a second. The tests of cut-off hosts pass.

--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -197,10 +197,14 @@
 // Endpoints without any of these are left out.
 func (a *Assigner) OwnLoads(now unit.Moment) map[unit.EndpointID]Load {
 	own := map[unit.EndpointID]Load{}
+	cutOff := map[table.ServiceName]bool{}
+	for service := range a.contacts {
+		cutOff[service] = a.CutOff(service)
+	}
 	for id, r := range a.replicas {
 		load := r.own
 		load.ReachableBy, load.UnreachableBy = r.reachability(now)
-		if r.others.ReachableBy > 0 && a.CutOff(r.Service) {
+		if r.others.ReachableBy > 0 && cutOff[r.Service] {
 			load.UnreachableBy = 0 // the endpoint isn't at fault
 		}
 		if load != (Load{}) {
