--- a/review/_tools/lab/outside.go
+++ b/review/_tools/lab/outside.go
@@ -157,7 +157,10 @@
 	mu        sync.Mutex
 	sequence  uint64
 	silent    bool // sends no further reports
+	draining  bool // its reports say so
+	cut       bool // it doesn't reach the core
 	reportsTo int
+	running   atomic.Int64 // requests that are being answered
 }
 
 // Model is a model and the version of its weights.
@@ -169,13 +172,8 @@
 
 // StartReplica starts a replica that reports itself every HeartbeatMs.
 func (l *Lab) StartReplica(r *Replica) *Replica {
-	r.lab, r.born = l, time.Now().UnixMilli()
-	var err error
-	if r.listener, err = net.Listen("tcp", net.JoinHostPort(r.IP, "0")); err != nil {
-		l.Fail("cannot start a replica: %v", err)
-	}
-	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
-	go func() { _ = r.server.Serve(r.listener) }()
+	r.lab = l
+	r.listen(net.JoinHostPort(r.IP, "0"))
 	l.OnClose(func() { _ = r.server.Close() })
 	go func() {
 		for {
@@ -192,18 +190,77 @@
 	return r
 }
 
+// listen begins a lifetime.
+func (r *Replica) listen(address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		r.lab.Fail("cannot start a replica: %v", err)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listener, r.born, r.sequence, r.draining = listener, time.Now().UnixMilli(), 0, false
+	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
+	go func(server *http.Server) { _ = server.Serve(listener) }(r.server)
+}
+
 // Address returns the replica's address.
 func (r *Replica) Address() string { return r.listener.Addr().String() }
 
+// SetCut cuts the replica off from the core, or joins it again. The edge machines reach it all the while.
+func (r *Replica) SetCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
+// ReportNow sends a report before it is due.
+func (r *Replica) ReportNow() { r.report() }
+
+// Drain makes the replica's reports say that it is draining.
+func (r *Replica) Drain() {
+	r.mu.Lock()
+	r.draining = true
+	r.mu.Unlock()
+	r.report()
+}
+
+// Stop ends the replica's process: at once with all its channels if crash is set, else once the running requests have been answered.
+func (r *Replica) Stop(crash bool) {
+	if crash {
+		_ = r.server.Close()
+		return
+	}
+	_ = r.listener.Close()
+	r.server.SetKeepAlivesEnabled(false) // ends idle channels
+	for end := time.Now().Add(10 * time.Second); r.running.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(2 * time.Millisecond)
+	}
+	_ = r.server.Close()
+}
+
+// Restart begins a new lifetime under the same id, at the same address, and reports it.
+func (r *Replica) Restart(software string) {
+	address := r.Address()
+	r.mu.Lock()
+	r.Software = software
+	r.mu.Unlock()
+	r.listen(address)
+	r.report()
+}
+
 func (r *Replica) report() {
 	r.mu.Lock()
 	r.sequence++
+	state := "ready"
+	if r.draining {
+		state = "draining"
+	}
 	models := r.Models
 	if models == nil {
 		models = []Model{}
 	}
 	body, _ := json.Marshal(map[string]any{
-		"Service": r.Service, "Address": r.Address(), "Zone": "zone-a", "Version": r.Software, "Slots": r.Slots, "State": "ready",
+		"Service": r.Service, "Address": r.Address(), "Zone": "zone-a", "Version": r.Software, "Slots": r.Slots, "State": state,
 		"ColdRemainingMs": 0, "Stage": "both", "Models": models, "Sequence": r.sequence, "born": r.born,
 	})
 	r.mu.Unlock()
@@ -215,8 +272,11 @@
 func (r *Replica) tell(method string, body []byte) (time.Time, bool) {
 	for range r.lab.Cores {
 		r.mu.Lock()
-		at := r.lab.Cores[r.reportsTo%len(r.lab.Cores)]
+		at, cut := r.lab.Cores[r.reportsTo%len(r.lab.Cores)], r.cut
 		r.mu.Unlock()
+		if cut {
+			return time.Time{}, false
+		}
 		status, _, err := callControl(method, "http://"+at.Control()+"/api/instances/"+r.ID, body, time.Second)
 		if err == nil && status/100 == 2 {
 			if method == http.MethodDelete {
@@ -237,14 +297,19 @@
 	r.silent = true
 	r.mu.Unlock()
 	time.Sleep(200 * time.Millisecond) // a report that is under way arrives first
-	body, _ := json.Marshal(map[string]any{"born": r.born})
-	at, ok := r.tell(http.MethodDelete, body)
+	at, ok := r.Deregister()
 	if !ok {
 		r.lab.Fail("the DELETE of replica %s has no acknowledgement", r.ID)
 	}
 	return at
 }
 
+// Deregister sends the call that ends the lifetime, and returns when it was acknowledged, false if it wasn't.
+func (r *Replica) Deregister() (time.Time, bool) {
+	body, _ := json.Marshal(map[string]any{"born": r.born})
+	return r.tell(http.MethodDelete, body)
+}
+
 // Stamp returns the receipt of an answer.
 func (r *Replica) Stamp(request string) string { return r.ID + "." + request }
 
@@ -273,6 +338,8 @@
 	case "/api/order":
 		w.WriteHeader(http.StatusOK)
 	default:
+		r.running.Add(1)
+		defer r.running.Add(-1)
 		r.Serve(w, q)
 	}
 }
@@ -314,3 +381,10 @@
 
 // PeekID returns the id that the next request will have, for consumers that send one request at a time.
 func PeekID() string { return fmt.Sprintf("%016x", 0x9c41000000000000+lastRequest.Load()+1) }
+
+// Version returns the version of the software of the replica's lifetime.
+func (r *Replica) Version() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Software
+}
