--- a/review/_tools/falsesuccess/main.go
+++ b/review/_tools/falsesuccess/main.go
@@ -27,8 +27,6 @@
 type engine struct {
 	mu    sync.Mutex
 	taken int
-	ran   map[string]bool
-	slow  bool
 }
 
 func (e *engine) take() bool {
--- a/review/_tools/lab/lab.go
+++ b/review/_tools/lab/lab.go
@@ -104,7 +104,8 @@
 	return fmt.Sprintf("127.%d.%d.%d", l.base[0], l.base[1], number)
 }
 
-// freePort returns a port that is free, like the next one, for TCP and UDP on the loopback address of the first core machine.
+// freePort returns a port that is free, like the next one, on the loopback address of the first core machine. The other machines have
+// addresses of their own, on which nothing listens.
 func (l *Lab) freePort() int {
 	for range 200 {
 		port := 20000 + rand.IntN(10000)
@@ -113,7 +114,7 @@
 			taken = taken || port == other || port == other+1 || port+1 == other
 		}
 		for _, p := range []int{port, port + 1} {
-			s, err := net.Listen("tcp", net.JoinHostPort("0.0.0.0", fmt.Sprint(p)))
+			s, err := net.Listen("tcp", net.JoinHostPort(l.Address(10), fmt.Sprint(p)))
 			if err != nil {
 				taken = true
 				continue
@@ -132,7 +133,7 @@
 func (l *Lab) Logf(format string, arguments ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	fmt.Fprintf(l.record, "%8.3f %s\n", time.Since(l.began).Seconds(), fmt.Sprintf(format, arguments...))
+	_, _ = fmt.Fprintf(l.record, "%8.3f %s\n", time.Since(l.began).Seconds(), fmt.Sprintf(format, arguments...))
 }
 
 // Broken records that the rule was broken.
--- a/review/_tools/lab/outside.go
+++ b/review/_tools/lab/outside.go
@@ -13,7 +13,7 @@
 	"time"
 )
 
-// callControl sends one call to a core machine and follows two redirects.
+// callControl sends one call to a core machine.
 func callControl(method, url string, body []byte, timeout time.Duration) (int, []byte, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
@@ -26,7 +26,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(response.Body)
 	return response.StatusCode, data, err
 }
@@ -199,7 +199,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.listener, r.born, r.sequence, r.draining = listener, time.Now().UnixMilli(), 0, false
-	r.server = &http.Server{Handler: http.HandlerFunc(r.handle)}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.handle), ReadHeaderTimeout: 5 * time.Second}
 	go func(server *http.Server) { _ = server.Serve(listener) }(r.server)
 }
 
