Tell a request's deadline from a caller that left, in one place

Cause: the context of a request ends when its caller disconnects and at its deadline. awaitCorrection took every end for a caller that had left, and for such a caller nothing is written. The four other places that see an ended context asked for the deadline as well, each by itself and by the clock.

Evidence: TestAStreamThatWaitsForACorrectedRecordFailsAtItsDeadline failed before (status 200, body ""), and gets 504 now, three runs of three.

Change: the context carries the deadline as its cause; callerLeft and endCause say why it ended, for all five places. A context that its own timer ended a moment before the host's clock reaches the deadline is no longer taken for a caller that left either.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -41,6 +41,9 @@
 	errReadTimeout = errors.New("the answer did not end within its time limit")
 )
 
+// errDeadline is the cause with which the context of a request ends at the request's deadline.
+var errDeadline = errors.New("the request's deadline has passed")
+
 // connectionHeaders apply to a single connection and aren't forwarded.
 var connectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
@@ -167,8 +170,8 @@
 		ending = assign.EndedFull
 	}
 	r.endAttempt(flight, choice, ending, err)
-	if ctx.Err() != nil && !r.expired() {
-		err = fault.CallerLeft.New("the caller disconnected")
+	if r.callerLeft(ctx) {
+		err = r.endCause(ctx)
 	}
 	return attemptResult{notRun: !sent, err: err}
 }
@@ -176,7 +179,7 @@
 // failureEnding classifies an attempt that got no complete answer by what that says about its endpoint.
 func (r *request) failureEnding(ctx, attempt context.Context, sent bool) assign.Ending {
 	switch {
-	case ctx.Err() != nil && !r.expired():
+	case r.callerLeft(ctx):
 		return assign.EndedByCaller
 	case ctx.Err() != nil, context.Cause(attempt) == errSilent: //nolint:errorlint // compared with the cause that Sweep sets
 		return assign.EndedSilent
@@ -187,8 +190,17 @@
 	}
 }
 
-func (r *request) expired() bool {
-	return r.h.Now() >= r.deadline
+// callerLeft reports whether the request's context has ended because the caller disconnected, not because of the deadline.
+func (r *request) callerLeft(ctx context.Context) bool {
+	return ctx.Err() != nil && context.Cause(ctx) != errDeadline && r.h.Now() < r.deadline //nolint:errorlint // compared with the cause that Serve sets
+}
+
+// endCause returns why the request's context has ended: fault.CallerLeft, or fault.BrokenAnswer if the deadline has passed.
+func (r *request) endCause(ctx context.Context) error {
+	if r.callerLeft(ctx) {
+		return fault.CallerLeft.Wrap(ctx.Err(), "the caller disconnected")
+	}
+	return fault.BrokenAnswer.Wrap(ctx.Err(), "the request's deadline passed before its answer began")
 }
 
 // endComplete records the end of an attempt with a complete answer.
@@ -319,8 +331,8 @@
 		raw, id, err := events.next()
 		if err != nil && err != io.EOF { //nolint:errorlint // next returns io.EOF as it is
 			r.endAttempt(flight, choice, r.failureEnding(ctx, attempt, true), err)
-			if ctx.Err() != nil && !r.expired() {
-				err = fault.CallerLeft.New("the caller disconnected")
+			if r.callerLeft(ctx) {
+				err = r.endCause(ctx)
 			}
 			return attemptResult{err: err}
 		}
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -250,7 +250,7 @@
 		r.decline(err)
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.deadline.Sub(h.Now()))
+	ctx, cancel := context.WithTimeoutCause(ctx, r.deadline.Sub(h.Now()), errDeadline)
 	defer cancel()
 	if err := r.takeUp(ctx); err != nil {
 		r.refuse(err)
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -198,6 +198,18 @@
 	return h
 }
 
+// newTestServer returns a server whose requests the handler serves, after change has changed their calls.
+func newTestServer(h *Handler, change func(*Call)) *httptest.Server {
+	return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		call := &Call{
+			ID: "r1", Arrived: h.Now(), Method: r.Method, Host: "h", Path: r.URL.Path, Target: r.RequestURI, Header: http.Header{},
+			Timeout: 2 * time.Second, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
+		}
+		change(call)
+		h.Serve(r.Context(), w, call)
+	}))
+}
+
 // serveOnce sends one request through the handler over a real connection.
 func serveOnce(t *testing.T, h *Handler, path, key string) (status int, header http.Header, body string, err error) {
 	t.Helper()
@@ -207,12 +219,13 @@
 // servePrompt is like serveOnce, for a request with a prompt.
 func servePrompt(t *testing.T, h *Handler, path, key string, prompt *Prompt) (status int, header http.Header, body string, err error) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.Serve(r.Context(), w, &Call{
-			ID: "r1", Arrived: h.Now(), Method: r.Method, Host: "h", Path: r.URL.Path, Target: r.RequestURI, Header: http.Header{}, Key: key,
-			Timeout: 2 * time.Second, Prompt: prompt, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
-		})
-	}))
+	return serveChanged(t, h, path, func(call *Call) { call.Key, call.Prompt = key, prompt })
+}
+
+// serveChanged is like serveOnce, for a call that change has changed.
+func serveChanged(t *testing.T, h *Handler, path string, change func(*Call)) (status int, header http.Header, body string, err error) {
+	t.Helper()
+	server := newTestServer(h, change)
 	defer server.Close()
 	request, err := http.NewRequestWithContext(context.Background(), http.MethodPost, server.URL+path, nil)
 	assert.NilError(t, err)
--- a/internal/callers/forward/relay.go
+++ b/internal/callers/forward/relay.go
@@ -189,8 +189,8 @@
 		r.reachedEndpoint = true
 	}
 	r.h.Log.Info("relay-failed", "request", string(r.call.ID), "host", string(r.relayedBy), "may-have-run", r.possibleRuns, "cause", err.Error())
-	if ctx.Err() != nil && !r.expired() {
-		err = fault.CallerLeft.New("the caller disconnected")
+	if r.callerLeft(ctx) {
+		err = r.endCause(ctx)
 	}
 	return attemptResult{notRun: notRun, err: err}
 }
--- a/internal/callers/forward/resume.go
+++ b/internal/callers/forward/resume.go
@@ -109,7 +109,7 @@
 }
 
 // awaitCorrection waits until the control host has the corrected record of the stream, if there is one. It fails with
-// fault.BrokenAnswer if that takes too long.
+// fault.BrokenAnswer if that takes too long or the request's deadline passes, and with fault.CallerLeft if the caller disconnects.
 func (r *request) awaitCorrection(ctx context.Context) error {
 	h := r.h
 	if r.correction == 0 {
@@ -127,7 +127,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return fault.CallerLeft.Wrap(ctx.Err(), "the caller disconnected")
+			return r.endCause(ctx)
 		case <-timeout.C:
 			return fault.BrokenAnswer.New("no control host knows the software version that began the stream")
 		}
--- a/internal/callers/forward/software_test.go
+++ b/internal/callers/forward/software_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
-	"net/http/httptest"
 	"strconv"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -73,20 +70,7 @@
 // takeUp sends a request that goes on with a stream after its first event.
 func takeUp(t *testing.T, h *Handler, resumes unit.RequestID) (status int, header http.Header, body string, err error) {
 	t.Helper()
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		h.Serve(r.Context(), w, &Call{
-			ID: "r2", Arrived: h.Now(), Method: r.Method, Host: "h", Path: r.URL.Path, Target: r.RequestURI, Header: http.Header{},
-			Timeout: 2 * time.Second, ResumeAfter: "1", Resumes: resumes, Body: func(int64) ([]byte, error) { return []byte("question"), nil },
-		})
-	}))
-	defer server.Close()
-	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/resumable/x", nil)
-	assert.NilError(t, err)
-	response, err := http.DefaultClient.Do(request)
-	assert.NilError(t, err)
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, response.Header, string(data), err
+	return serveChanged(t, h, "/resumable/x", func(call *Call) { call.ID, call.ResumeAfter, call.Resumes = "r2", "1", resumes })
 }
 
 // Guards against a stream that goes on at another software version, or at any version because the right one isn't known, and against
@@ -177,3 +161,19 @@
 	corrected, _ := h.streams.Find(streamorigin.NewID("", "r1"))
 	assert.Equal(t, corrected.Service, origin.Service)
 }
+
+// Guards against an empty success at the deadline of a stream whose first event waits for a control host until then: the caller is still
+// there and must learn that the request failed.
+func TestAStreamThatWaitsForACorrectedRecordFailsAtItsDeadline(t *testing.T) {
+	var begun atomic.Int64
+	h, _ := newVersionedHandler(t, func(unit.SoftwareVersion) string {
+		if begun.Add(1) == 1 {
+			return refused
+		}
+		return streamHead + firstEvent + lastChunk
+	}, "v1", "v2")
+	status, _, body, err := serveChanged(t, h, "/resumable/x", func(call *Call) { call.Timeout = correctionTimeout * 4 / 5 })
+	assert.NilError(t, err)
+	assert.Equal(t, begun.Load(), int64(2))
+	assert.Equal(t, status, http.StatusGatewayTimeout, "%q", body)
+}
