Abort requests that end without an answer instead of sending an empty 200

Cause: for a caller that has left, fail and refuse write nothing and return. net/http then sends its default answer, an empty success, which a caller that can still read takes for the endpoint's.

Change: Serve aborts the connection unless the head of an answer was written or the request was declined, whatever the reason.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -305,7 +305,7 @@
 	r.copyHeader(answer.header)
 	r.w.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
 	defer r.limitWrites(callerWriteTimeout)()
-	r.w.WriteHeader(answer.status)
+	r.writeHead(answer.status)
 	_, _ = r.w.Write(answer.body) // an error means that the caller has disconnected
 }
 
@@ -342,7 +342,7 @@
 				return attemptResult{err: err}
 			}
 			r.copyHeader(answer.Header)
-			r.w.WriteHeader(answer.Status)
+			r.writeHead(answer.Status)
 			r.headSent = true
 			r.work.Software = &choice.Software
 			r.firstByte = r.h.Now()
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -206,10 +206,11 @@
 	reachedEndpoint bool // an attempt has reached an endpoint, so that further ones count as retries
 	possibleRuns    int  // attempts whose endpoint may have run the request
 	lastEventID     string
-	reservedBytes   int64       // memory for answers of this request
-	atLimit         bool        // the last choice found that all endpoints are at the limits that they named, or brittle and full
-	permitDeadline  unit.Moment // end of the wait for a permit, 0 before it
-	headSent        bool
+	reservedBytes   int64                // memory for answers of this request
+	atLimit         bool                 // the last choice found that all endpoints are at the limits that they named, or brittle and full
+	permitDeadline  unit.Moment          // end of the wait for a permit, 0 before it
+	answered        bool                 // the head of an answer was written, or the request was declined
+	headSent        bool                 // of a stream
 	takesUp         bool                 // goes on with a stream that an earlier request began
 	origin          *streamorigin.Origin // as recorded last, nil if the request's stream isn't recorded
 	correction      uint64               // number of the record that corrected an earlier one, 0 if there is none
@@ -225,7 +226,8 @@
 	body   []byte
 }
 
-// Serve answers one call.
+// Serve answers one call. It panics with http.ErrAbortHandler if it ends without an answer or in the middle of one, because a server would
+// otherwise send an empty success or complete the answer.
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
 	h.mu.Lock()
 	h.running++
@@ -237,7 +239,14 @@
 		h.running--
 		h.mu.Unlock()
 	}()
-	r.table = h.Table()
+	r.serve(ctx)
+	if !r.answered {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (r *request) serve(ctx context.Context) {
+	r.table = r.h.Table()
 	if err := r.checkTableVersion(); err != nil {
 		r.decline(err)
 		return
@@ -250,7 +259,7 @@
 		r.decline(err)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(ctx, r.deadline.Sub(h.Now()), errDeadline)
+	ctx, cancel := context.WithTimeoutCause(ctx, r.deadline.Sub(r.h.Now()), errDeadline)
 	defer cancel()
 	if err := r.takeUp(ctx); err != nil {
 		r.refuse(err)
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -163,11 +163,17 @@
 	return max(0, timeout-r.h.Now().Sub(r.call.Arrived))
 }
 
+// writeHead sends the status and the header of the answer.
+func (r *request) writeHead(status int) {
+	r.answered = true
+	r.w.WriteHeader(status)
+}
+
 func (r *request) writeText(status int, err error) {
 	text := fault.Name(err) + "\n"
 	header := r.w.Header()
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("Content-Length", strconv.Itoa(len(text)))
-	r.w.WriteHeader(status)
+	r.writeHead(status)
 	_, _ = r.w.Write([]byte(text)) // an error means that the caller has disconnected
 }
--- a/internal/callers/forward/relay.go
+++ b/internal/callers/forward/relay.go
@@ -79,6 +79,7 @@
 
 // decline tells the entry host that handed the request over that this one doesn't take it.
 func (r *request) decline(err error) {
+	r.answered = true
 	r.call.Relayed.Decline(err)
 	r.log("declined", err)
 }
@@ -199,7 +200,7 @@
 func (r *request) forwardRelayedStream(ctx context.Context, answer *relay.Answer) attemptResult {
 	defer r.limitWrites(max(r.deadline.Sub(r.h.Now()), 0) + callerWriteTimeout)()
 	r.copyHeader(answer.Header)
-	r.w.WriteHeader(answer.Status)
+	r.writeHead(answer.Status)
 	r.headSent, r.firstByte = true, r.h.Now()
 	flusher := http.NewResponseController(r.w)
 	piece := make([]byte, relayBuffer)
