Abort the connection of a caller that left during its stream at citronglade host

Cause: a stream that ends with fault.CallerLeft returns its error, and the error handler did nothing once the answer had begun, so that net/http completed it.

Evidence: TestAStreamThatIsCutForItsCallerLooksBroken read "data: {}" and no error before, and an unexpected end now.

Change: the error handler aborts the connection of a caller that left if its answer has begun.

--- a/internal/callers/api/server.go
+++ b/internal/callers/api/server.go
@@ -10,6 +10,7 @@
 	"path"
 	"strings"
 
+	"github.com/joomcode/errorx"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
@@ -208,10 +209,13 @@
 	return body, nil
 }
 
-// writeError answers with the status and body for err. It does nothing if the answer has begun: a stream that has begun
-// ends with an error event, which package request sends.
+// writeError answers with the status and body for err. If the answer has begun, it only aborts the connection of a caller that has left,
+// because the answer would otherwise be completed; any other stream that has begun ends with an error event, which package request sends.
 func (s *Server) writeError(err error, c echo.Context) {
 	if c.Response().Committed {
+		if errorx.IsOfType(err, fault.CallerLeft) {
+			panic(http.ErrAbortHandler)
+		}
 		return
 	}
 	var framework *echo.HTTPError
--- a/internal/callers/api/server_test.go
+++ b/internal/callers/api/server_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -101,6 +103,28 @@
 	assert.DeepEqual(t, got.Messages, []string{"system: ab"})
 }
 
+// Guards against an answer that looks complete to a caller that closed only its sending side while its stream was running.
+func TestAStreamThatIsCutForItsCallerLooksBroken(t *testing.T) {
+	s := newServer(nil)
+	s.Options.Serve = func(_ context.Context, _ request.Call, w http.ResponseWriter) error {
+		_, err := w.Write([]byte("data: {}\n\n"))
+		assert.Check(t, err)
+		assert.Check(t, http.NewResponseController(w).Flush())
+		return fault.CallerLeft.New("the caller left during its stream")
+	}
+	server := httptest.NewServer(s)
+	defer server.Close()
+	call, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/v1/chat/completions", strings.NewReader(chat))
+	assert.NilError(t, err)
+	call.Header.Set("Authorization", "Bearer secret")
+	call.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(call)
+	assert.NilError(t, err)
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	assert.Assert(t, errors.Is(err, io.ErrUnexpectedEOF), "%q %v", body, err)
+}
+
 // Guards against failures with a wrong status, outcome or Retry-After.
 func TestPresent(t *testing.T) {
 	tests := []struct {
