Change the key of shared cached parts when a customer becomes isolated

Cause: the cache key of all customers that aren't isolated depended on the weights only. It was the same before and after one of them became isolated, so that its parts stayed within reach of the others. A request that was sent once more also kept the key of the table with which it had arrived.

TestIsolatedCustomersShareNoCachedParts checks sequences of tables drawn at random.

Change: cachescope.Scope names who shares parts; the shared scope has a digest of the isolated customers' names, and the scope is determined for each attempt with the table in force. Without isolated customers all keys and homes are as before; nothing is added to messages or saved state.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -146,7 +146,7 @@
 	}
 	if r.work.HasPrompt {
 		order.Weights, order.FetchFrom, order.SaveTo = choice.Weights, choice.Source, choice.Save
-		order.CacheKey = assign.CacheKey(choice.Weights, r.work.CacheOwner)
+		order.CacheKey = assign.CacheKey(choice.Weights, r.work.Scope)
 	}
 	header := r.call.Header.Clone()
 	r.h.Wire.Encode(header, order)
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -311,9 +311,7 @@
 	w := assign.Request{Service: r.service.Name, Objective: r.route.Objective, ShortestObjective: r.table.ShortestObjective(r.service.Name)}
 	if p := r.call.Prompt; p != nil && r.service.Engine != nil {
 		w.HasPrompt, w.Model, w.Parts, w.Prompt, w.Output = true, p.Model, p.Parts, p.Tokens, p.Output
-		if r.customer != nil && r.customer.Isolated {
-			w.CacheOwner = r.customer.Name
-		}
+		w.SetScope(r.table.CacheScope(r.customer))
 	}
 	return w
 }
@@ -369,6 +367,7 @@
 	now := h.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	r.work.SetScope(h.Table().CacheScope(r.customer)) // customers may have become isolated since the request arrived
 	r.work.MaxLatency, r.work.Random, r.work.PreviouslyRefused = r.firstByteTimeout(now), rand.Float64(), r.probablyRefusedBefore()
 	r.work.Resumable = r.resumable()
 	choice, ok := h.assigner.Choose(now, &r.work, r.tried)
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -3,12 +3,14 @@
 package table
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/planning/cachescope"
 )
 
 // Version numbers tables. The accepted table with the highest version is in force.
@@ -113,6 +115,8 @@
 	byHost             map[string][]*Route // longest prefix first
 	byService          map[ServiceName]*Service
 	customerByKey      map[string]*Customer
+	isolated           map[unit.CustomerID]bool
+	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
 }
 
@@ -216,6 +220,13 @@
 			t.customerByKey[key] = c
 		}
 	}
+	t.isolated = map[unit.CustomerID]bool{}
+	for _, c := range t.Customers {
+		if c.Isolated {
+			t.isolated[c.Name] = true
+		}
+	}
+	t.sharedScope = cachescope.Shared(slices.Collect(maps.Keys(t.isolated)))
 	return nil
 }
 
@@ -261,6 +272,15 @@
 	return c, ok
 }
 
+// CacheScope returns the scope of the cached parts that a customer's requests may use; c may be nil or a customer of an older table. A customer
+// that an older table isolates keeps its scope there.
+func (t *Table) CacheScope(c *Customer) cachescope.Scope {
+	if c != nil && (c.Isolated || t.isolated[c.Name]) {
+		return cachescope.Isolated(c.Name)
+	}
+	return t.sharedScope
+}
+
 // Pick returns a service at random, in proportion to the weights. draw is a random number from 0 to 1.
 func (r *Route) Pick(draw float64) ServiceName {
 	total := 0
--- a/internal/planning/table/table_test.go
+++ b/internal/planning/table/table_test.go
@@ -6,8 +6,10 @@
 
 	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
 func validTable() *Table {
@@ -98,3 +100,31 @@
 		assert.Equal(t, result.ShortestObjective(c.service), c.want, "%s", c.service)
 	}
 }
+
+// Guards against a customer that uses cached parts of another one while either of them is isolated, whatever customers were isolated before.
+func TestIsolatedCustomersShareNoCachedParts(t *testing.T) {
+	names := []unit.CustomerID{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		makers := map[string]map[unit.CustomerID]bool{} // by the scope in which they have made parts
+		for version := range rapid.IntRange(2, 12).Draw(t, "versions") {
+			changed := &Table{Version: Version(version + 1)}
+			for _, name := range names {
+				if rapid.Bool().Draw(t, "exists") {
+					changed.Customers = append(changed.Customers, Customer{Name: name, Isolated: rapid.Bool().Draw(t, "isolated")})
+				}
+			}
+			assert.NilError(t, changed.Compile())
+			for i := range changed.Customers {
+				c := &changed.Customers[i]
+				scope := changed.CacheScope(c).String()
+				for maker := range makers[scope] {
+					assert.Assert(t, maker == c.Name || !changed.isolated[maker] && !c.Isolated, "%s uses parts of %s", c.Name, maker)
+				}
+				if makers[scope] == nil {
+					makers[scope] = map[unit.CustomerID]bool{}
+				}
+				makers[scope][c.Name] = true
+			}
+		}
+	})
+}
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -10,6 +11,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
+	"github.com/citronglade/citronglade/internal/planning/cachescope"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 )
@@ -20,7 +22,7 @@
 	Tokens unit.Tokens
 }
 
-// Prefix identifies a prompt's leading parts up to one of them, for one model and within one Request.CacheOwner.
+// Prefix identifies a prompt's leading parts up to one of them, for one model and within one Request.Scope.
 type Prefix uint64
 
 // Request describes a request as far as the choice of its endpoint depends on it.
@@ -28,7 +30,7 @@
 	Service           table.ServiceName
 	HasPrompt         bool
 	Model             unit.ModelName
-	CacheOwner        unit.CustomerID // customer whose cached parts are kept separate from those of others, empty if they are shared
+	Scope             cachescope.Scope // of the cached parts that the request may use; see SetScope
 	Parts             []Part
 	Prompt            unit.Tokens // tokens of the whole prompt
 	Output            unit.Tokens // maximum number of tokens of the answer
@@ -55,7 +57,7 @@
 	}
 	w.prefixes = make([]Prefix, 0, len(w.Parts))
 	hash := xxhash.New()
-	_, _ = hash.WriteString(string(w.Model) + "\x00" + string(w.CacheOwner))
+	_, _ = hash.WriteString(string(w.Model) + "\x00" + strings.TrimPrefix(w.Scope.String(), ".")) // like earlier builds
 	var length [8]byte
 	for _, part := range w.Parts {
 		binary.BigEndian.PutUint64(length[:], uint64(len(part.ID)))
@@ -75,7 +77,7 @@
 	if parts, ok := w.partIDs[weights]; ok {
 		return parts
 	}
-	key := CacheKey(weights, w.CacheOwner)
+	key := CacheKey(weights, w.Scope)
 	parts := make([]cachedparts.Part, 0, len(w.Parts))
 	for _, part := range w.Parts {
 		parts = append(parts, cachedparts.NewPart(key, part.ID))
@@ -87,9 +89,16 @@
 	return parts
 }
 
-// CacheKey returns a key that separates the cached parts of different weights, and those of a customer that shares none.
-func CacheKey(weights decisions.WeightsNumber, wall unit.CustomerID) string {
-	return "w" + strconv.FormatUint(uint64(weights), 10) + "." + string(wall)
+// SetScope changes the scope of the cached parts that the request may use.
+func (w *Request) SetScope(scope cachescope.Scope) {
+	if scope != w.Scope {
+		w.Scope, w.prefixes, w.partIDs = scope, nil, nil
+	}
+}
+
+// CacheKey returns a key that separates the cached parts of different weights and scopes.
+func CacheKey(weights decisions.WeightsNumber, scope cachescope.Scope) string {
+	return "w" + strconv.FormatUint(uint64(weights), 10) + scope.String()
 }
 
 // SharedParts returns the ids of the parts that other requests may share, at most the given number of them. The last part of a prompt
