Tests: leave out the names of embedded structs

Cause: staticcheck (QF1008) found two selectors in the new tests with the name of an embedded struct.

--- a/internal/callers/api/server_test.go
+++ b/internal/callers/api/server_test.go
@@ -106,7 +106,7 @@
 // Guards against an answer that looks complete to a caller that closed only its sending side while its stream was running.
 func TestAStreamThatIsCutForItsCallerLooksBroken(t *testing.T) {
 	s := newServer(nil)
-	s.Options.Serve = func(_ context.Context, _ request.Call, w http.ResponseWriter) error {
+	s.Serve = func(_ context.Context, _ request.Call, w http.ResponseWriter) error {
 		_, err := w.Write([]byte("data: {}\n\n"))
 		assert.Check(t, err)
 		assert.Check(t, http.NewResponseController(w).Flush())
--- a/internal/callers/forward/scope_test.go
+++ b/internal/callers/forward/scope_test.go
@@ -58,7 +58,7 @@
 				return success
 			})
 			h := newTestHandler(t)
-			h.Dependencies.Table = current.Load
+			h.Table = current.Load
 			var keys []string // in the order in which requests are sent
 			h.Wire.Encode = func(header http.Header, order RequestInfo) {
 				testWire.Encode(header, order)
