Tell entry hosts how long ago weights were named

Cause: an entry host counted the time since weights were replaced from the moment at which it heard of their successor, and control hosts told it the newest version only. After a start it took that one for new, and older ones for replaced just now.

Change: versionage.History keeps when versions were named. Control hosts exchange ages and tell them to entry hosts; the larger of two ages is right. What a host isn't told in its first answer counts as named long ago.

--- a/internal/host/gateway/endpoints.go
+++ b/internal/host/gateway/endpoints.go
@@ -72,8 +72,8 @@
 	return others
 }
 
-// updateAssigner passes the data of an answer to the assigner and the retry budget.
-func (g *Gateway) updateAssigner(now unit.Moment, v endpointUpdate, answer *hub.SyncAnswer) {
+// updateAssigner passes the data of an answer to the assigner and the retry budget. The request was sent at sentAt.
+func (g *Gateway) updateAssigner(now, sentAt unit.Moment, v endpointUpdate, answer *hub.SyncAnswer) {
 	t := g.table.Load()
 	g.handler.WithRoutingState(func(a *assign.Assigner, l *retrybudget.Budget) {
 		l.SetHosts(answer.EntryHosts)
@@ -81,7 +81,7 @@
 		if t != nil {
 			a.SetStore(t.Store())
 		}
-		a.SetNewest(now, answer.Weights)
+		a.SetNewest(sentAt, answer.Weights, answer.WeightsAges)
 		if v.changed {
 			a.SetEndpoints(v.endpoints, func(name table.ServiceName) (*table.Service, bool) {
 				if t == nil {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -93,6 +93,7 @@
 	hubEpoch       unit.Incarnation              // incarnation of the control host that answered last
 	registryNumber uint64                        // number of the last change of the registry that was read
 	holdingNumber  uint64                        // number of the last change of cached parts that was read
+	weightsRead    uint64                        // number of the last change of the ages of weights that was read
 	// crashesSent is the number of the last of this host's crash notices that the control host has, and crashesRead that of the last
 	// of the control host's notices that this host has read.
 	crashesSent, crashesRead uint64
@@ -255,7 +256,8 @@
 		number = g.sentLoads[len(g.sentLoads)-1].number + 1
 	}
 	g.sentLoads = append(g.sentLoads[max(0, len(g.sentLoads)+1-keptSentLoads):], sentLoad{number, own})
-	request.Epoch, request.RegistryNumber, request.HoldingNumber, request.Load, request.LoadNumber = g.hubEpoch, g.registryNumber, g.holdingNumber, load.Pack(), number
+	request.Epoch, request.RegistryNumber, request.HoldingNumber, request.WeightsRead = g.hubEpoch, g.registryNumber, g.holdingNumber, g.weightsRead
+	request.Load, request.LoadNumber = load.Pack(), number
 	return g.currentHost, request, streams
 }
 
@@ -325,7 +327,7 @@
 		g.sentLoads = nil
 	}
 	reported := g.registry.Merge(now, answer.Update, g.numbering)
-	g.hubEpoch, g.registryNumber, g.holdingNumber = answer.Epoch, answer.Update.Number, answer.Holding.Number
+	g.hubEpoch, g.registryNumber, g.holdingNumber, g.weightsRead = answer.Epoch, answer.Update.Number, answer.Holding.Number, answer.WeightsNumber
 	for _, record := range answer.Update.Records {
 		g.Log.Info("endpoint-known", "endpoint", string(record.ID), "service", string(record.Service), "software", string(record.Software), "draining", record.Draining,
 			"left", record.Left, "weights", record.Weights, "report-age-ms", record.Age.Milliseconds())
@@ -336,7 +338,7 @@
 	v := g.resolveAnswer(reported, answer)
 	v.permits = g.grantedPermits(answer, sentAt)
 	g.mu.Unlock()
-	g.updateAssigner(now, v, answer)
+	g.updateAssigner(now, sentAt, v, answer)
 	if len(v.permits) > 0 {
 		g.handler.PermitsArrived()
 	}
--- a/internal/host/gateway/gateway_test.go
+++ b/internal/host/gateway/gateway_test.go
@@ -19,7 +19,8 @@
 func newTestGateway(seeds ...unit.HostName) *Gateway {
 	return New(Dependencies{
 		Name: "10.1.0.1", Seeds: func() []unit.HostName { return seeds }, Timer: timer.NewManual(), Log: eventlog.Discard(),
-		Assign: assign.Settings{DataCentre: "a"}, Allowance: retrybudget.Settings{Window: time.Second}, Stopping: func() bool { return false },
+		Assign:    assign.Settings{DataCentre: "a", ReportSilence: time.Hour, WeightsGrace: time.Second, WeightsLimit: 9 * time.Second},
+		Allowance: retrybudget.Settings{Window: time.Second}, Stopping: func() bool { return false },
 	})
 }
 
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -7,6 +7,7 @@
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/leader"
+	"github.com/citronglade/citronglade/internal/control/versionage"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
@@ -153,12 +154,30 @@
 	}
 	answer.EntryHosts = h.entryHostCount(now)
 	answer.Updating, answer.Upcoming = h.updating(now)
+	answer.WeightsAges, answer.WeightsNumber = h.agesFor(now, request), h.weightsHistory.Number()
 	if h.tablePage.Version > request.TableVersion {
 		answer.Table = h.tablePage.Table
 	}
 	return answer
 }
 
+// agesFor returns the ages of weights if an entry host hasn't read them yet. Hosts that don't read them get them in the first answer only.
+func (h *Hub) agesFor(now unit.Moment, request SyncRequest) versionage.Ages {
+	if request.Epoch == h.Incarnation && (request.WeightsRead == 0 || request.WeightsRead == h.weightsHistory.Number()) {
+		return nil
+	}
+	return h.weightsHistory.Ages(now)
+}
+
+// agesToSend returns the ages of weights if they are due to be sent to the other control hosts.
+func (h *Hub) agesToSend(now unit.Moment) versionage.Ages {
+	if now.Sub(h.agesSentAt) < agesInterval {
+		return nil
+	}
+	h.agesSentAt = now
+	return h.weightsHistory.Ages(now)
+}
+
 // withDataCentres returns the named control hosts, with the data centre of those that have sent their state lately.
 func (h *Hub) withDataCentres(now unit.Moment, names []unit.HostName) []ControlHost {
 	located := make([]ControlHost, 0, len(names))
@@ -281,9 +300,10 @@
 			updated.loads[h.registry.Index(id)] = load
 		}
 	}
+	h.weightsHistory.Merge(now, state.WeightsAges)
 	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays = nil, nil, crashcause.Update{}, nil, nil
+	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges = nil, nil, crashcause.Update{}, nil, nil, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -24,6 +24,7 @@
 	"github.com/citronglade/citronglade/internal/control/leader"
 	"github.com/citronglade/citronglade/internal/control/savedstate"
 	"github.com/citronglade/citronglade/internal/control/upgrade"
+	"github.com/citronglade/citronglade/internal/control/versionage"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/planning/table"
@@ -63,6 +64,8 @@
 	confirmPause = 20 * time.Millisecond
 	// pruneInterval is the time between two removals of outdated endpoints, shared parts, crashes and entry hosts.
 	pruneInterval = 10 * time.Second
+	// agesInterval is the time between two messages to the other control hosts with the ages of weights.
+	agesInterval = time.Second
 	// loadBytesPerSecond bounds the loads that are sent to one entry host. It is half of the 28 KB/s that a host may use for control
 	// traffic.
 	loadBytesPerSecond = 14_000
@@ -106,6 +109,8 @@
 	registry           *registry.Registry
 	tablePage          decisions.AcceptedTable
 	weights            map[unit.ModelName]decisions.WeightsNumber
+	weightsHistory     *versionage.History
+	agesSentAt         unit.Moment // when the ages of weights were sent to the other control hosts
 	entries            map[unit.HostName]entryState
 	peers              map[unit.HostName]peerState
 	planner            *upgrade.Planner
@@ -170,7 +175,7 @@
 // New returns a hub with the state that was saved before the last stop. Run starts it.
 func New(d Dependencies) *Hub {
 	h := &Hub{
-		Dependencies: d, registry: registry.New(), weights: map[unit.ModelName]decisions.WeightsNumber{},
+		Dependencies: d, registry: registry.New(), weights: map[unit.ModelName]decisions.WeightsNumber{}, weightsHistory: versionage.New(),
 		entries: map[unit.HostName]entryState{}, peers: map[unit.HostName]peerState{}, planner: upgrade.New(d.LeaseWait),
 		ownHoldings: cachedparts.New(), holdings: cachedparts.New(), peerHoldings: map[unit.HostName]*cachedparts.Map{},
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
@@ -204,6 +209,8 @@
 	h.tablePage = state.Table
 	if state.Weights != nil {
 		h.weights = state.Weights
+		// The other control hosts know the ages. If all of them have restarted, the time begins anew.
+		h.weightsHistory.Learn(h.Timer.Now(), h.weights)
 	}
 	h.Log.Info("state-restored", "table-version", uint64(h.tablePage.Version), "endpoints", len(state.Endpoints.Records),
 		"crashes", len(state.Crashes), "causes", len(state.Causes))
@@ -263,6 +270,7 @@
 		for model, number := range weights {
 			if number > h.weights[model] {
 				h.weights[model] = number
+				h.weightsHistory.Learn(h.Timer.Now(), map[unit.ModelName]decisions.WeightsNumber{model: number})
 				h.Log.Info("weights-named", "model", string(model), "weights", uint64(number))
 			}
 		}
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -7,6 +7,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/control/upgrade"
+	"github.com/citronglade/citronglade/internal/control/versionage"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
@@ -54,6 +55,9 @@
 	NeedsRelays bool         `cbor:"17,keyasint,omitempty"`
 	// Stopping is set while the host is stopping and takes no relayed requests.
 	Stopping bool `cbor:"18,keyasint,omitempty"`
+	// WeightsRead is the number of the last change of the ages of weights that the host has read from that hub. It is 0 for hosts that
+	// don't read them.
+	WeightsRead uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -94,6 +98,10 @@
 	NeedsStreams bool `cbor:"19,keyasint,omitempty"`
 	// Relays are entry hosts that reach endpoints, if the host needs any.
 	Relays []unit.HostName `cbor:"20,keyasint,omitempty"`
+	// WeightsAges says how long ago versions of weights were named, if that has changed after WeightsRead. WeightsNumber is the number of the
+	// last change, 0 from hubs that don't know the ages.
+	WeightsAges   versionage.Ages `cbor:"21,keyasint,omitempty"`
+	WeightsNumber uint64          `cbor:"22,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -136,6 +144,8 @@
 	Streams []streamorigin.Batch `cbor:"24,keyasint,omitempty"`
 	// Relays are some of the entry hosts that sync with the sender and reach the endpoints. They are sent every relaysInterval only.
 	Relays []unit.HostName `cbor:"25,keyasint,omitempty"`
+	// WeightsAges says how long ago versions of weights were named. It is sent every agesInterval only.
+	WeightsAges versionage.Ages `cbor:"26,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -11,6 +11,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/control/versionage"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
@@ -73,8 +74,9 @@
 type Assigner struct {
 	settings       Settings
 	replicas       map[unit.EndpointID]*replica
-	services       map[table.ServiceName][]*replica      // in the order given to SetEndpoints, by id
-	weightsHistory map[unit.ModelName][]announcedWeights // sorted by version
+	services       map[table.ServiceName][]*replica // in the order given to SetEndpoints, by id
+	weightsHistory *versionage.History
+	heardNewest    bool // a control host has said which weights are the newest
 	loadsAt        unit.Moment
 	serviceStats   map[table.ServiceName]serviceStat
 	hosts          int // number of entry hosts that share the endpoints
@@ -108,7 +110,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		weightsHistory: map[unit.ModelName][]announcedWeights{}, serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
+		weightsHistory: versionage.New(), serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
 		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{},
 	}
@@ -343,8 +345,10 @@
 	if now.Sub(r.heardAt) > a.settings.ReportSilence {
 		value *= missingReportsFactor
 	}
-	if w.HasPrompt && a.timeSinceReplaced(now, w.Model, r.weights(w.Model)) > a.settings.WeightsGrace {
-		value *= oldWeightsFactor
+	if w.HasPrompt {
+		if age, replaced := a.weightsHistory.SinceReplaced(now, w.Model, r.weights(w.Model)); replaced && age > a.settings.WeightsGrace {
+			value *= oldWeightsFactor
+		}
 	}
 	if r.weightsUpdateNext && w.longAnswer() {
 		value *= upcomingUpdateFactor
--- a/internal/routing/assign/assigner_test.go
+++ b/internal/routing/assign/assigner_test.go
@@ -65,8 +65,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			a := newAssignerWith(endpoint("e", c.current, at(c.at)))
+			a.SetNewest(0, nil, nil)
 			for i, moment := range c.named {
-				a.SetNewest(at(moment), map[unit.ModelName]decisions.WeightsNumber{"m": decisions.WeightsNumber(i + 2)})
+				a.SetNewest(at(moment), map[unit.ModelName]decisions.WeightsNumber{"m": decisions.WeightsNumber(i + 2)}, nil)
 			}
 			_, may := a.Choose(at(c.at), newPromptWork("s", "o"), nil)
 			assert.Equal(t, may, c.may)
@@ -77,7 +78,8 @@
 // Guards against a request that is sent in time to a busy endpoint but begins there after the limit for its old weights.
 func TestTheWaitCountsTowardsTheLimitOfOldWeights(t *testing.T) {
 	a := newAssignerWith(endpoint("e", 1, at(8_500)))
-	a.SetNewest(at(0), map[unit.ModelName]decisions.WeightsNumber{"m": 2})
+	a.SetNewest(0, nil, nil)
+	a.SetNewest(at(0), map[unit.ModelName]decisions.WeightsNumber{"m": 2}, nil)
 	_, may := a.Choose(at(8_500), newPromptWork("s", "o"), nil)
 	assert.Assert(t, may)
 	a.SetLoads(at(8_500), map[unit.EndpointID]Load{"e": {Requests: 10, Tokens: 60_000, PendingPrefill: 30_000}})
--- a/internal/routing/assign/weights.go
+++ b/internal/routing/assign/weights.go
@@ -5,44 +5,22 @@
 
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
+	"github.com/citronglade/citronglade/internal/control/versionage"
 )
 
-const (
-	// waitSafetyFactor multiplies the expected time until a request begins where it must not begin after a limit.
-	waitSafetyFactor = 3
-	// maxWeightsHistory is the number of versions per model whose announcement time is kept.
-	maxWeightsHistory = 32
-)
-
-// announcedWeights is a version of a model's weights and the moment at which this host learned of it.
-type announcedWeights struct {
-	version decisions.WeightsNumber
-	at      unit.Moment
-}
-
-// SetNewest records the newest version of each model's weights.
-func (a *Assigner) SetNewest(now unit.Moment, newest map[unit.ModelName]decisions.WeightsNumber) {
-	for model, number := range newest {
-		history := a.weightsHistory[model]
-		if len(history) > 0 && history[len(history)-1].version >= number {
-			continue
-		}
-		if len(history) >= maxWeightsHistory {
-			history = history[1:]
-		}
-		a.weightsHistory[model] = append(history, announcedWeights{number, now})
-	}
-}
+// waitSafetyFactor multiplies the expected time until a request begins where it must not begin after a limit.
+const waitSafetyFactor = 3
 
-// timeSinceReplaced returns how long ago the first version newer than the given one was announced, 0 if there is none. Later
-// versions don't matter: they don't make the given version any newer.
-func (a *Assigner) timeSinceReplaced(now unit.Moment, model unit.ModelName, version decisions.WeightsNumber) time.Duration {
-	for _, announced := range a.weightsHistory[model] {
-		if announced.version > version {
-			return now.Sub(announced.at)
-		}
+// SetNewest records the newest version of each model's weights, and the ages of versions, as a control host knew them at the given moment or
+// later. The versions of the first call may have been named any time ago unless the control host knows their ages.
+func (a *Assigner) SetNewest(at unit.Moment, newest map[unit.ModelName]decisions.WeightsNumber, ages versionage.Ages) {
+	a.weightsHistory.Merge(at, ages)
+	if a.heardNewest {
+		a.weightsHistory.Learn(at, newest)
+		return
 	}
-	return 0
+	a.heardNewest = true
+	a.weightsHistory.Assume(newest)
 }
 
 // LearnWeights records the version of the weights that an answer named.
@@ -67,6 +45,6 @@
 	if !w.HasPrompt {
 		return true
 	}
-	replaced := a.timeSinceReplaced(now, w.Model, r.weights(w.Model))
-	return replaced == 0 || replaced+waitSafetyFactor*expected < a.settings.WeightsLimit
+	age, replaced := a.weightsHistory.SinceReplaced(now, w.Model, r.weights(w.Model))
+	return !replaced || age+waitSafetyFactor*expected < a.settings.WeightsLimit
 }
