Keep one endpoint's answers from taking the memory for those of others

Cause: the memory for buffered answers was one sum for all endpoints. Whatever came first took it.

Change: answermemory.Budget counts by source; one source may take half, and large answers leave a quarter free for small ones. The test of the sum moved to that package with the same figures. Growth of a buffer stops at the largest body.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -265,7 +265,7 @@
 // breaks off.
 func (r *request) forwardWhole(ctx, attempt context.Context, choice assign.Choice, flight *assign.Attempt, answer *exchange.Answer) attemptResult {
 	r.withAssigner(func(a *assign.Assigner) { a.Began(r.h.Now(), flight) })
-	data, err := r.readWhole(answer)
+	data, err := readWhole(answer, r.openMemory(string(choice.Endpoint)))
 	if err != nil {
 		r.endAttempt(flight, choice, r.failureEnding(ctx, attempt, true), err)
 		return attemptResult{err: err}
@@ -322,7 +322,7 @@
 // forwardStream forwards the events of a stream as they arrive. If the stream breaks off, another endpoint may resume it after the
 // last event that the caller has received.
 func (r *request) forwardStream(ctx, attempt context.Context, choice assign.Choice, flight *assign.Attempt, answer *exchange.Answer) attemptResult {
-	events := newRawEventReader(answer, r.reserve)
+	events := newRawEventReader(answer, r.openMemory(string(choice.Endpoint)))
 	// The connection to the endpoint is closed at the request's deadline. The write deadline ends the caller's connection soon
 	// after that if the caller doesn't read.
 	defer r.limitWrites(max(r.deadline.Sub(r.h.Now()), 0) + callerWriteTimeout)()
--- a/internal/callers/forward/endless_test.go
+++ b/internal/callers/forward/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,12 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronglade/citronglade/internal/base/timer"
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/answermemory"
+	"github.com/citronglade/citronglade/internal/endpoints/registry"
+	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/assign"
+	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 )
 
 // endlessOutput is what an endpoint sends: a beginning, then the same text again and again until its connection is closed.
@@ -138,7 +145,7 @@
 					status, _, body, err := serveOnce(t, h, path, "")
 					took := time.Since(began)
 					stop()
-					assert.Equal(t, h.reservedBytes.Load(), int64(0))
+					assert.Equal(t, h.memory.Used(), int64(0))
 					select {
 					case <-asked:
 						reached = true
@@ -161,3 +168,51 @@
 		}
 	}
 }
+
+// Guards against an endpoint whose answers never end and leave no memory for the answers of other endpoints.
+func TestOneEndpointDoesNotUseUpTheMemoryForAnswers(t *testing.T) {
+	const callers, memory = 40, 32 * initialBufferBytes
+	beginning := "HTTP/1.1 200 OK\r\nId: ID\r\nMark: m\r\nContent-Length: 1000000\r\n\r\n" + "x"
+	address, asked, closed := newEndlessEndpoint(t, endlessOutput{beginning: beginning, repeated: "x", pause: 20 * time.Millisecond})
+	sound := newFakeEndpoint(t, func() string { return success })
+	h := newTestHandler(t)
+	h.Connections = func(*table.Service) int { return callers }
+	h.memory = answermemory.New(memory)
+	use := func(id unit.EndpointID, address string) {
+		known := []registry.Endpoint{{Report: registry.Report{ID: id, Service: "s", Address: address, Slots: callers, Born: 1}}}
+		h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { a.SetEndpoints(known, h.Table().Service, nil, nil) })
+	}
+	use("endless", address)
+	server := newTestServer(h, func(*Call) {})
+	defer server.Close()
+	failed := make(chan struct{}, callers)
+	for range callers {
+		go func() {
+			defer func() { failed <- struct{}{} }()
+			call, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/once/x", nil)
+			assert.Check(t, err)
+			response, err := http.DefaultClient.Do(call)
+			if assert.Check(t, err) {
+				assert.Check(t, response.StatusCode >= http.StatusInternalServerError)
+				assert.Check(t, response.Body.Close())
+			}
+		}()
+	}
+	for range callers {
+		<-asked
+	}
+	for h.memory.Used() < memory/2 || len(failed) < callers-memory/initialBufferBytes {
+		runtime.Gosched()
+	}
+	use("sound", sound.address)
+	for range 5 {
+		status, _, body, err := serveOnce(t, h, "/once/x", "")
+		assert.NilError(t, err)
+		assert.Equal(t, status, http.StatusOK, "%q", body)
+	}
+	for range callers {
+		<-failed
+		<-closed
+	}
+	assert.Equal(t, h.memory.Used(), int64(0))
+}
--- a/internal/callers/forward/events.go
+++ b/internal/callers/forward/events.go
@@ -8,6 +8,7 @@
 	"slices"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/callers/answermemory"
 )
 
 // maxEventBytes is the largest size of one event.
@@ -15,13 +16,13 @@
 
 // rawEventReader splits a stream of server-sent events into events without changing a byte.
 type rawEventReader struct {
-	from    *bufio.Reader
-	event   []byte
-	reserve func(bytes int) error // reserves memory for the buffer
+	from   *bufio.Reader
+	event  []byte
+	memory *answermemory.Share // for the buffer
 }
 
-func newRawEventReader(from io.Reader, reserve func(int) error) *rawEventReader {
-	return &rawEventReader{from: bufio.NewReaderSize(from, 2<<10), reserve: reserve}
+func newRawEventReader(from io.Reader, memory *answermemory.Share) *rawEventReader {
+	return &rawEventReader{from: bufio.NewReaderSize(from, 2<<10), memory: memory}
 }
 
 // next returns the bytes of the next event, including the empty line that ends it, and the event's id if it has one. At the end of
@@ -72,7 +73,7 @@
 	}
 	before := cap(r.event)
 	grown := slices.Grow(r.event, max(more, before))
-	if err := r.reserve(cap(grown) - before); err != nil {
+	if err := r.memory.Grow(int64(cap(grown) - before)); err != nil {
 		return err
 	}
 	r.event = grown
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -8,12 +8,12 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/answermemory"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/callers/relay"
@@ -94,7 +94,7 @@
 	relayRefusedAt map[table.ServiceName]unit.Moment // when no other host took a request for the service, see relayPause
 	cutOff         map[table.ServiceName]bool        // as logged last
 	running        int
-	reservedBytes  atomic.Int64 // memory for answers of all requests, at most MaxAnswerMemory
+	memory         *answermemory.Budget
 }
 
 // cancellableAttempt is an attempt that may be cancelled and repeated at another endpoint.
@@ -105,9 +105,12 @@
 
 // New returns a handler that knows no endpoints.
 func New(d Dependencies) *Handler {
+	if d.MaxAnswerMemory <= 0 {
+		d.MaxAnswerMemory = defaultAnswerBytes
+	}
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: retrybudget.New(d.Allowance),
-		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(),
+		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(), memory: answermemory.New(d.MaxAnswerMemory),
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
@@ -206,14 +209,14 @@
 	reachedEndpoint bool // an attempt has reached an endpoint, so that further ones count as retries
 	possibleRuns    int  // attempts whose endpoint may have run the request
 	lastEventID     string
-	reservedBytes   int64                // memory for answers of this request
-	atLimit         bool                 // the last choice found that all endpoints are at the limits that they named, or brittle and full
-	permitDeadline  unit.Moment          // end of the wait for a permit, 0 before it
-	answered        bool                 // the head of an answer was written, or the request was declined
-	headSent        bool                 // of a stream
-	takesUp         bool                 // goes on with a stream that an earlier request began
-	origin          *streamorigin.Origin // as recorded last, nil if the request's stream isn't recorded
-	correction      uint64               // number of the record that corrected an earlier one, 0 if there is none
+	memory          []*answermemory.Share // for answers of this request
+	atLimit         bool                  // the last choice found that all endpoints are at the limits that they named, or brittle and full
+	permitDeadline  unit.Moment           // end of the wait for a permit, 0 before it
+	answered        bool                  // the head of an answer was written, or the request was declined
+	headSent        bool                  // of a stream
+	takesUp         bool                  // goes on with a stream that an earlier request began
+	origin          *streamorigin.Origin  // as recorded last, nil if the request's stream isn't recorded
+	correction      uint64                // number of the record that corrected an earlier one, 0 if there is none
 	firstByte       unit.Moment
 	// fallback is an endpoint's error answer that is forwarded if no later attempt does better.
 	fallback *wholeAnswer
@@ -234,7 +237,9 @@
 	h.mu.Unlock()
 	r := &request{h: h, w: w, call: call, lastEventID: call.ResumeAfter}
 	defer func() {
-		h.reservedBytes.Add(-r.reservedBytes)
+		for _, share := range r.memory {
+			share.Close()
+		}
 		h.mu.Lock()
 		h.running--
 		h.mu.Unlock()
--- a/internal/callers/forward/memory.go
+++ b/internal/callers/forward/memory.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/callers/answermemory"
 )
 
 const (
@@ -17,38 +18,24 @@
 	initialBufferBytes = 2 << 10
 )
 
-// reserve reserves memory for answers until the request ends. It fails with fault.BrokenAnswer when the answers of all requests
-// together exceed the limit, because endpoints then send far more than they are asked for.
-func (r *request) reserve(bytes int) error {
-	limit := r.h.MaxAnswerMemory
-	if limit <= 0 {
-		limit = defaultAnswerBytes
-	}
-	if r.h.reservedBytes.Add(int64(bytes)) > limit {
-		r.h.reservedBytes.Add(-int64(bytes))
-		return fault.BrokenAnswer.New("the answers of all requests together take more than %d bytes", limit)
-	}
-	r.reservedBytes += int64(bytes)
-	return nil
-}
-
-// release returns the memory of an answer that isn't forwarded.
-func (r *request) release(bytes int) {
-	r.reservedBytes -= int64(bytes)
-	r.h.reservedBytes.Add(-int64(bytes))
+// openMemory returns the memory for an answer of the given source. It is returned when the request ends, at the latest.
+func (r *request) openMemory(source string) *answermemory.Share {
+	share := r.h.memory.Open(source)
+	r.memory = append(r.memory, share)
+	return share
 }
 
 // readWhole reads the body of an answer to its end. It fails with fault.BrokenAnswer.
-func (r *request) readWhole(answer io.Reader) ([]byte, error) {
+func readWhole(answer io.Reader, memory *answermemory.Share) ([]byte, error) {
 	data := []byte{}
 	fail := func(err error) ([]byte, error) {
-		r.release(cap(data))
+		memory.Close()
 		return nil, err
 	}
 	for {
 		if len(data) == cap(data) {
-			grown := slices.Grow(data, max(initialBufferBytes, len(data)))
-			if err := r.reserve(cap(grown) - cap(data)); err != nil {
+			grown := slices.Grow(data, min(max(initialBufferBytes, len(data)), maxAnswerBytes+1-len(data)))
+			if err := memory.Grow(int64(cap(grown) - cap(data))); err != nil {
 				return fail(err)
 			}
 			data = grown
--- a/internal/callers/forward/memory_test.go
+++ b/internal/callers/forward/memory_test.go
@@ -5,25 +5,9 @@
 	"testing"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"gotest.tools/v3/assert"
-
-	"github.com/citronglade/citronglade/internal/base/fault"
 )
 
-// Guards against answers that together take more memory than is allowed, and against memory that isn't released.
-func TestAnswersTogetherStayWithinTheirMemory(t *testing.T) {
-	h := newTestHandler(t)
-	h.MaxAnswerMemory = 100
-	first, second := &request{h: h}, &request{h: h}
-	assert.NilError(t, first.reserve(60))
-	assert.Assert(t, errorx.IsOfType(second.reserve(50), fault.BrokenAnswer))
-	assert.NilError(t, second.reserve(40))
-	first.release(60)
-	assert.NilError(t, second.reserve(60))
-	assert.Equal(t, h.reservedBytes.Load(), int64(100))
-}
-
 // deadlineRecorder records the write deadlines that are set.
 type deadlineRecorder struct {
 	*httptest.ResponseRecorder
--- a/internal/callers/forward/relay.go
+++ b/internal/callers/forward/relay.go
@@ -129,7 +129,7 @@
 	if r.route.Kind == table.KindStream && answer.Status == http.StatusOK {
 		return r.forwardRelayedStream(ctx, answer)
 	}
-	data, err := r.readWhole(answer)
+	data, err := readWhole(answer, r.openMemory(string(host)))
 	if err != nil {
 		return r.relayFailed(ctx, err)
 	}
