Answer all requests before a stopping host ends, and refuse late ones at once

Cause: connections were closed at the end of the grace period while requests were running. After http.Server.Shutdown was called, the server closes a connection on which it reads a request.

Change: the handler ends running requests with a true answer shortly before the end, and refuses further ones once the listener is closed. Instead of Shutdown, the listener and idle connections are closed, and the process ends when no connection is open or the time is over.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -41,8 +41,11 @@
 	errReadTimeout = errors.New("the answer did not end within its time limit")
 )
 
-// errDeadline is the cause with which the context of a request ends at the request's deadline.
-var errDeadline = errors.New("the request's deadline has passed")
+// errDeadline is the cause with which the context of a request ends at the request's deadline, errStopping that before the host stops.
+var (
+	errDeadline = errors.New("the request's deadline has passed")
+	errStopping = errors.New("the host is stopping")
+)
 
 // connectionHeaders apply to a single connection and aren't forwarded.
 var connectionHeaders = []string{
@@ -179,7 +182,7 @@
 // failureEnding classifies an attempt that got no complete answer by what that says about its endpoint.
 func (r *request) failureEnding(ctx, attempt context.Context, sent bool) assign.Ending {
 	switch {
-	case r.callerLeft(ctx):
+	case r.callerLeft(ctx), context.Cause(ctx) == errStopping: //nolint:errorlint // compared with the cause that EndRequests sets
 		return assign.EndedByCaller
 	case ctx.Err() != nil, context.Cause(attempt) == errSilent: //nolint:errorlint // compared with the cause that Sweep sets
 		return assign.EndedSilent
@@ -190,17 +193,19 @@
 	}
 }
 
-// callerLeft reports whether the request's context has ended because the caller disconnected, not because of the deadline.
+// callerLeft reports whether the request's context has ended because the caller disconnected, not because of the deadline or a stop.
 func (r *request) callerLeft(ctx context.Context) bool {
-	return ctx.Err() != nil && context.Cause(ctx) != errDeadline && r.h.Now() < r.deadline //nolint:errorlint // compared with the cause that Serve sets
+	cause := context.Cause(ctx)
+	return cause != nil && cause != errDeadline && cause != errStopping && r.h.Now() < r.deadline //nolint:errorlint // compared with the causes that Serve and EndRequests set
 }
 
-// endCause returns why the request's context has ended: fault.CallerLeft, or fault.BrokenAnswer if the deadline has passed.
+// endCause returns why the request's context has ended: fault.CallerLeft, or fault.BrokenAnswer if the deadline has passed or the host is
+// stopping.
 func (r *request) endCause(ctx context.Context) error {
 	if r.callerLeft(ctx) {
 		return fault.CallerLeft.Wrap(ctx.Err(), "the caller disconnected")
 	}
-	return fault.BrokenAnswer.Wrap(ctx.Err(), "the request's deadline passed before its answer began")
+	return fault.BrokenAnswer.Wrap(context.Cause(ctx), "the answer didn't begin in time")
 }
 
 // endComplete records the end of an attempt with a complete answer.
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -93,7 +93,8 @@
 	permits        permitWait
 	relayRefusedAt map[table.ServiceName]unit.Moment // when no other host took a request for the service, see relayPause
 	cutOff         map[table.ServiceName]bool        // as logged last
-	running        int
+	running        map[*request]context.CancelCauseFunc
+	closed         bool // no further requests are served
 	memory         *answermemory.Budget
 }
 
@@ -114,6 +115,7 @@
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
+		running: map[*request]context.CancelCauseFunc{},
 	}
 }
 
@@ -128,7 +130,23 @@
 func (h *Handler) Running() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.running
+	return len(h.running)
+}
+
+// StopAccepting has further requests refused at once, because they might not end before the host stops.
+func (h *Handler) StopAccepting() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.closed = true
+}
+
+// EndRequests ends all running requests. Those whose answer hasn't begun are answered.
+func (h *Handler) EndRequests() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, cancel := range h.running {
+		cancel(errStopping)
+	}
 }
 
 // Sweep cancels attempts whose endpoint doesn't respond, so that they are repeated at other endpoints, and starts checks of
@@ -232,19 +250,26 @@
 // Serve answers one call. It panics with http.ErrAbortHandler if it ends without an answer or in the middle of one, because a server would
 // otherwise send an empty success or complete the answer.
 func (h *Handler) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+	r := &request{h: h, w: w, call: call, lastEventID: call.ResumeAfter}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	h.mu.Lock()
-	h.running++
+	closed := h.closed
+	h.running[r] = cancel
 	h.mu.Unlock()
-	r := &request{h: h, w: w, call: call, lastEventID: call.ResumeAfter}
 	defer func() {
 		for _, share := range r.memory {
 			share.Close()
 		}
 		h.mu.Lock()
-		h.running--
+		delete(h.running, r)
 		h.mu.Unlock()
 	}()
-	r.serve(ctx)
+	if closed {
+		r.refuseStopping()
+	} else {
+		r.serve(ctx)
+	}
 	if !r.answered {
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -154,6 +154,16 @@
 	r.writeText(status, err)
 }
 
+// refuseStopping refuses a request that came after StopAccepting.
+func (r *request) refuseStopping() {
+	err := fault.Stopping.New("this host is about to stop")
+	if r.call.Relayed != nil {
+		r.decline(err)
+		return
+	}
+	r.refuse(err)
+}
+
 // timeLeft returns how much longer the caller waits.
 func (r *request) timeLeft() time.Duration {
 	timeout := r.call.Timeout
--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -38,7 +38,9 @@
 	// drainShare is the fraction of the stop's grace period in which a host that reports that it isn't ready still accepts requests,
 	// so that the load balancer has noticed before connections are refused.
 	drainShare = 0.3
-	// shutdownShare is the fraction of the stop's grace period after which requests that are still running are aborted.
+	// answerShare is the fraction of the stop's grace period after which requests that are still running are ended with an answer.
+	answerShare = 0.92
+	// shutdownShare is the fraction of the stop's grace period after which connections are closed whose requests haven't ended yet.
 	shutdownShare = 0.94
 	// headerTimeout bounds the time to send a request's header, and idleTimeout the lifetime of an idle connection. The routing
 	// table's limits for well-behaved callers are shorter.
@@ -82,7 +84,8 @@
 type server struct {
 	*http.Server
 	socket        net.Listener
-	servesCallers bool // drain shuts down only these servers
+	servesCallers bool // drain closes only these servers
+	connections   atomic.Int64
 }
 
 // New opens the listeners of the host's roles. It fails with fault.BadSetting.
@@ -150,9 +153,11 @@
 	if err != nil {
 		return fault.BadSetting.Wrap(err, "cannot listen on %s", address)
 	}
-	p.servers = append(p.servers, &server{socket: socket, servesCallers: servesCallers, Server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}})
+	s := &server{socket: socket, servesCallers: servesCallers}
+	s.Server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.countConnection,
+	}
+	p.servers = append(p.servers, s)
 	return nil
 }
 
@@ -246,16 +251,33 @@
 
 func (s *server) serve(work context.Context) error {
 	err := s.Serve(s.socket)
-	if errors.Is(err, http.ErrServerClosed) {
-		// Serve returns as soon as Shutdown is called, while requests are still running. This actor must not end before them.
+	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
+		// Serve returns as soon as the listener is closed, while requests are still running. This actor must not end before them.
 		<-work.Done()
 		return nil
 	}
 	return fault.Internal.Wrap(err, "cannot serve")
 }
 
+func (s *server) countConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.connections.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	case http.StateActive, http.StateIdle:
+	}
+}
+
+// stopListening closes the listener and the idle connections. Others are closed after their next answer. Unlike Shutdown, it doesn't close a
+// connection without an answer to a request that comes after it.
+func (s *server) stopListening() error {
+	s.SetKeepAlivesEnabled(false)
+	return s.socket.Close()
+}
+
 // drain waits for the running requests of an entry host, at most for the stop's grace period. The readiness check fails first; the host
-// accepts requests until the load balancer has noticed.
+// accepts requests until the load balancer has noticed, and refuses those that come later on open connections.
 func (p *Process) drain() {
 	began := p.timer.Now()
 	p.stopping.Store(true)
@@ -265,19 +287,40 @@
 		return
 	}
 	timer.Sleep(context.Background(), time.Duration(drainShare*float64(grace)))
-	left := time.Duration(shutdownShare*float64(grace)) - p.timer.Now().Sub(began)
+	handler := p.gateway.Handler()
+	handler.StopAccepting()
+	passed := p.timer.Now().Sub(began)
+	defer time.AfterFunc(time.Duration(answerShare*float64(grace))-passed, func() {
+		if running := handler.Running(); running > 0 {
+			p.log.Warn("requests-ended", "running", running)
+		}
+		handler.EndRequests()
+	}).Stop()
+	left := time.Duration(shutdownShare*float64(grace)) - passed
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
+	connections := func() (open int64) {
+		for _, s := range p.servers {
+			if s.servesCallers {
+				open += s.connections.Load()
+			}
+		}
+		return open
+	}
 	for _, s := range p.servers {
 		if !s.servesCallers {
 			continue
 		}
-		if err := s.Shutdown(ctx); err != nil {
-			p.log.Warn("requests-cut", "running", p.gateway.Handler().Running(), "cause", err.Error())
+		if err := s.stopListening(); err != nil {
+			p.log.Warn("listener-not-closed", "cause", err.Error())
 		}
 	}
-	// Requests that other hosts have handed over aren't known to the HTTP servers.
-	for p.gateway.Handler().Running() > 0 && timer.Sleep(ctx, drainPollInterval) {
+	// Requests that other hosts have handed over have no connection here.
+	for connections() > 0 || handler.Running() > 0 {
+		if !timer.Sleep(ctx, drainPollInterval) {
+			p.log.Warn("requests-cut", "running", handler.Running(), "connections", connections())
+			return
+		}
 	}
 }
 
