Keep the host's own Connection header when the endpoint's answer is copied

Callers saw: answers of a stopping host without "Connection: close", so that they kept connections which the host closed a moment later.

Cause: copyHeader copied the endpoint's headers and then deleted those of single connections from the answer, the host's own among them.

Evidence: TestAStoppingHostClosesItsConnections failed before and passes now.

Change: headers of single connections are left out when copying.

--- a/internal/callers/forward/attempt.go
+++ b/internal/callers/forward/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"mime"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -317,10 +318,9 @@
 func (r *request) copyHeader(from http.Header) {
 	header := r.w.Header()
 	for name, values := range from {
-		header[name] = values
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
+		if !slices.Contains(connectionHeaders, name) {
+			header[name] = values
+		}
 	}
 }
 
