Go on with a stream only by a current view of software versions

Callers saw (report of another operator, shown here by tests): a stream that had broken off went on at another software version, through a host that was out of step during a release.

Cause: a control host says for up to 1.5 s after its last contact that a service has run a single version for long, and the answer of one was enough. And an entry host chose the endpoint by its own view, however old, while an endpoint may come back under its id and address with another version.

Evidence: failed before, pass now: the case "a single version for a control host that is cut off with this one" of TestAStreamIsFoundWhereverItsRecordIs, two of TestAHostOutOfStepGoesOnWithNoStream.

Change: a single version follows from the leader's answer, or from more than half of the control hosts. A host that hasn't heard from a control host with a majority within a second goes on with no stream; a take-up waits 300 ms for that. Answers got an optional field; hosts of the build before ignore and lack it.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -65,6 +65,8 @@
 	Assign      assign.Settings
 	// FindStream asks the control hosts where a stream began. It returns false if they don't know.
 	FindStream func(ctx context.Context, q streamorigin.Query) (streamorigin.Origin, bool)
+	// InStep reports whether this host has lately been in contact with the control hosts, so that it knows the endpoints' lifetimes.
+	InStep func() bool
 	// TryPart asks the leader of the control hosts whether one request in which only the part of this cause is blocked may be sent, to find
 	// out whether the part is harmless.
 	TryPart func(ctx context.Context, cause crashcause.Cause) bool
@@ -405,6 +407,9 @@
 	if !ok {
 		return choice, nil, r.noEndpoint(now, choice)
 	}
+	if r.work.Software != nil && !h.InStep() {
+		return choice, nil, fault.StaleConfiguration.New("the software version of endpoint %s may have changed since this host last heard of it", choice.Endpoint)
+	}
 	r.lastChoice = &choice
 	if choice.Expected > r.work.MaxLatency {
 		return choice, nil, fault.Overloaded.New("the answer would begin after %s, but the caller waits only %s", choice.Expected, r.work.MaxLatency).
--- a/internal/callers/forward/resume.go
+++ b/internal/callers/forward/resume.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
@@ -20,6 +21,9 @@
 	// correctionTimeout is how long the first event of a stream waits until a control host knows that another software version than the
 	// one recorded first has begun it.
 	correctionTimeout = 300 * time.Millisecond
+	// stepTimeout is how long a request that takes up a stream waits until this host is in contact with the control hosts, and stepPause the
+	// time between two checks.
+	stepTimeout, stepPause = 300 * time.Millisecond, 20 * time.Millisecond
 )
 
 var (
@@ -62,6 +66,7 @@
 	if r.service, ok = r.table.Service(origin.Service); !ok {
 		return r.unresumable("service %s, which began the stream, doesn't exist any more", origin.Service)
 	}
+	r.h.awaitStep(ctx)
 	streamsTakenUp.Inc()
 	r.work = r.newWork()
 	r.work.Software, r.takesUp = &origin.Software, true
@@ -70,6 +75,12 @@
 	return nil
 }
 
+// awaitStep waits for a moment until this host is in contact with the control hosts, as after it has been suspended.
+func (h *Handler) awaitStep(ctx context.Context) {
+	for end := h.Now().Add(stepTimeout); !h.InStep() && h.Now() < end && timer.Sleep(ctx, stepPause); {
+	}
+}
+
 // findOrigin returns where the stream began that the caller takes up, or false if that isn't known.
 func (r *request) findOrigin(ctx context.Context) (streamorigin.Origin, bool) {
 	query := streamorigin.Query{Service: r.service.Name}
--- a/internal/callers/forward/software_test.go
+++ b/internal/callers/forward/software_test.go
@@ -177,3 +177,37 @@
 	assert.Equal(t, begun.Load(), int64(2))
 	assert.Equal(t, status, http.StatusGatewayTimeout, "%q", body)
 }
+
+// Guards against a stream that goes on at an endpoint whose software version has changed while this host was out of contact with the
+// control hosts.
+func TestAHostOutOfStepGoesOnWithNoStream(t *testing.T) {
+	cases := []struct {
+		name     string
+		inStep   func(checks int64) bool
+		takenUp  int  // status of a request that takes up a stream
+		complete bool // an answer whose first endpoint breaks off is completed
+	}{
+		{name: "in step", inStep: func(int64) bool { return true }, takenUp: http.StatusOK, complete: true},
+		{name: "out of step", inStep: func(int64) bool { return false }, takenUp: http.StatusServiceUnavailable},
+		{name: "out of step for a moment", inStep: func(checks int64) bool { return checks > 3 }, takenUp: http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var sends, checks atomic.Int64
+			h, _ := newVersionedHandler(t, func(unit.SoftwareVersion) string {
+				if sends.Add(1) == 1 {
+					return streamHead + firstEvent
+				}
+				return streamHead + secondEvent + lastChunk
+			}, "v1", "v1")
+			h.InStep = func() bool { return c.inStep(checks.Add(1)) }
+			_, _, _, err := serveOnce(t, h, "/resumable/x", "")
+			assert.Equal(t, err == nil, c.complete, "%v", err)
+			checks.Store(0)
+			status, header, _, err := takeUp(t, h, "r1")
+			assert.NilError(t, err)
+			assert.Equal(t, status, c.takenUp)
+			assert.Equal(t, header.Get("Retry-After") != "", status == http.StatusServiceUnavailable)
+		})
+	}
+}
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -39,6 +39,9 @@
 	syncTimeout = 350 * time.Millisecond
 	// majorityTimeout is how long a control host may have been without a majority before another one is asked.
 	majorityTimeout = 600 * time.Millisecond
+	// maxViewAge is the age from which a view of the endpoints is too old to tell which software version an endpoint runs. An endpoint takes longer
+	// to be replaced.
+	maxViewAge = time.Second
 	// sweepInterval is the time between two checks for attempts whose endpoint has fallen silent.
 	sweepInterval = 50 * time.Millisecond
 	// poolPruneInterval is the time between two prunings of idle connections.
@@ -104,6 +107,7 @@
 	trialAskedAt  unit.Moment     // when the leader was last asked for a trial of a blocked part
 	relays        []unit.HostName // entry hosts that reach endpoints, as a control host reported last
 	connected     bool            // the last sync with a control host was successful
+	inStepAt      atomic.Int64    // unit.Moment of the last contact of an answering control host with a majority
 	endpointsSeen atomic.Bool     // at least one endpoint has been usable since the start
 	takenRelays   atomic.Int64    // number of relayed requests that this host is serving for others
 
@@ -135,7 +139,7 @@
 	g.nextHost = int(startIndex(d.Name))
 	g.handler = forward.New(forward.Dependencies{
 		Now: d.Timer.Now, Log: d.Log, Meter: meter.New(metrics.GetDefaultSet(), meteredCustomers), Wire: d.EndpointProtocol, Pool: g.pool, Table: g.table.Load, Connections: g.connections,
-		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream, TryPart: g.tryPart,
+		Allowance: d.Allowance, Assign: d.Assign, MaxAnswerMemory: d.MaxAnswerMemory, FindStream: g.findStream, TryPart: g.tryPart, InStep: g.inStep,
 		Relay: g.relay,
 	})
 	return g
@@ -181,6 +185,11 @@
 	return actors.Run()
 }
 
+// inStep reports whether a control host that is in contact with a majority has answered lately.
+func (g *Gateway) inStep() bool {
+	return g.Timer.Now().Sub(unit.Moment(g.inStepAt.Load())) < maxViewAge
+}
+
 // connections returns the number of connections that this host may open to an endpoint of the service.
 func (g *Gateway) connections(s *table.Service) int {
 	return int(connectionShare * float64(s.MaxConnections) / float64(max(g.entryHosts.Load(), 1)))
@@ -312,6 +321,7 @@
 func (g *Gateway) applyAnswer(name unit.HostName, answer *hub.SyncAnswer, sentAt unit.Moment) {
 	now := g.Timer.Now()
 	g.entryHosts.Store(int64(answer.EntryHosts))
+	g.inStepAt.Store(max(g.inStepAt.Load(), int64(sentAt.Add(-answer.Age))))
 	g.applyTable(answer.Table)
 	g.mu.Lock()
 	if !g.connected && answer.Age <= majorityTimeout {
--- a/internal/host/gateway/streams.go
+++ b/internal/host/gateway/streams.go
@@ -78,7 +78,7 @@
 			defer time.AfterFunc(streamAnswerGrace, cancel).Stop()
 		}
 	}
-	return q.Combine(received)
+	return q.Combine(received, len(hosts))
 }
 
 // askForStream asks one control host. It returns nil if there is no answer in time.
--- a/internal/host/gateway/streams_test.go
+++ b/internal/host/gateway/streams_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -17,9 +18,10 @@
 var origin = streamorigin.Origin{Service: "s", Software: "v2"}
 
 // Guards against a stream that isn't found although it is recorded: its record is still on its way, or only one control host has it while
-// others don't answer.
+// others don't answer. Also guards against an origin that follows from the view of a control host which is cut off.
 func TestAStreamIsFoundWhereverItsRecordIs(t *testing.T) {
 	unknown, found := streamorigin.Answer{Mixed: true}, streamorigin.Answer{Found: true, Origin: origin}
+	uniform := streamorigin.Answer{Uniform: true, Software: origin.Software}
 	cases := []struct {
 		name    string
 		answers map[unit.HostName][]streamorigin.Answer // in order, the last one repeated; a host without any doesn't answer
@@ -31,6 +33,8 @@
 		{name: "it is on its way for longer", answers: map[unit.HostName][]streamorigin.Answer{"10.2.0.1": {unknown, unknown, found}}, known: true},
 		{name: "nobody has it", answers: map[unit.HostName][]streamorigin.Answer{"10.2.0.1": {unknown}, "10.2.0.2": {unknown}}},
 		{name: "nobody answers"},
+		{name: "a single version", answers: map[unit.HostName][]streamorigin.Answer{"10.2.0.1": {uniform}, "10.2.0.3": {uniform}}, known: true},
+		{name: "a single version for a control host that is cut off with this one", answers: map[unit.HostName][]streamorigin.Answer{"10.2.0.1": {uniform}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -84,3 +88,22 @@
 	assert.Equal(t, sync(2, true), 0, "no records are needed")
 	assert.Equal(t, sync(2, true), 1, "with those of the time in which none were needed")
 }
+
+// Guards against a host that goes on with streams by a view of the endpoints from before it was suspended or cut off, alone or together with
+// a control host.
+func TestAHostIsInStepWhileItsViewIsCurrent(t *testing.T) {
+	g := newTestGateway("10.2.0.1")
+	g.Timer.Advance(time.Minute)
+	answer := func(age time.Duration) {
+		g.applyAnswer("10.2.0.1", &hub.SyncAnswer{Age: age, EntryHosts: 1}, g.Timer.Now())
+	}
+	assert.Assert(t, !g.inStep(), "no control host has answered yet")
+	answer(100 * time.Millisecond)
+	assert.Assert(t, g.inStep())
+	g.Timer.Advance(maxViewAge)
+	assert.Assert(t, !g.inStep(), "cut off or suspended")
+	answer(2 * time.Second)
+	assert.Assert(t, !g.inStep(), "cut off together with the control host")
+	answer(0)
+	assert.Assert(t, g.inStep())
+}
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -87,9 +87,12 @@
 		return nil, err
 	}
 	now := h.Timer.Now()
+	leads := h.leads(now)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return codec.Marshal(h.findStream(now, query, now.Sub(m.Status().LastContactAt) < hostSilenceTimeout))
+	answer := h.findStream(now, query, now.Sub(m.Status().LastContactAt) < hostSilenceTimeout)
+	answer.Leads = leads
+	return codec.Marshal(answer)
 }
 
 // sync answers the regular SyncRequest of an entry host.
--- a/internal/routing/streamorigin/answer.go
+++ b/internal/routing/streamorigin/answer.go
@@ -22,13 +22,16 @@
 	Uniform  bool                 `cbor:"3,keyasint,omitempty"`
 	Software unit.SoftwareVersion `cbor:"4,keyasint,omitempty"`
 	Mixed    bool                 `cbor:"5,keyasint,omitempty"`
+	// Leads is set if the host leads the control hosts by a valid lease, so that it isn't cut off from most of them.
+	Leads bool `cbor:"6,keyasint,omitempty"`
 }
 
-// Combine returns where the stream of a query began, given the answers of the control hosts. It returns false if none of them knows, or
-// if they contradict each other.
-func (q Query) Combine(answers []Answer) (Origin, bool) {
+// Combine returns where the stream of a query began, given the answers of those of the asked control hosts that answered. It returns false if
+// none of them knows, or if they contradict each other. That there is a single version follows only from the answers of the leader or
+// of more than half of the hosts, because the others may have been cut off from them when another version appeared.
+func (q Query) Combine(answers []Answer, asked int) (Origin, bool) {
 	var recorded, uniform []Origin
-	mixed := false
+	mixed, current := false, 2*len(answers) > asked
 	for _, a := range answers {
 		if a.Found {
 			recorded = append(recorded, a.Origin)
@@ -36,12 +39,12 @@
 		if a.Uniform {
 			uniform = append(uniform, Origin{Service: q.Service, Software: a.Software})
 		}
-		mixed = mixed || a.Mixed
+		mixed, current = mixed || a.Mixed, current || a.Leads
 	}
 	switch {
 	case len(recorded) > 0:
 		return agreed(recorded)
-	case mixed:
+	case mixed || !current:
 		return Origin{}, false
 	default:
 		return agreed(uniform)
--- a/internal/routing/streamorigin/register_test.go
+++ b/internal/routing/streamorigin/register_test.go
@@ -72,7 +72,8 @@
 // Guards against guessing the origin of a stream: from a single version that is only seen since the other one left, from records that
 // contradict each other, or from nothing.
 func TestAnOriginIsKnownOrNotGuessed(t *testing.T) {
-	uniform := Answer{Uniform: true, Software: "v1"}
+	const asked = 3
+	uniform, leader := Answer{Uniform: true, Software: "v1"}, Answer{Uniform: true, Software: "v1", Leads: true}
 	cases := []struct {
 		name    string
 		answers []Answer
@@ -87,10 +88,14 @@
 		{name: "a single version for long", answers: []Answer{uniform, {}, uniform}, want: old, known: true},
 		{name: "another control host has seen two versions", answers: []Answer{uniform, {Mixed: true}}},
 		{name: "single versions that contradict each other", answers: []Answer{uniform, {Uniform: true, Software: "v2"}}},
+		{name: "a single version for one that may be cut off from the others", answers: []Answer{uniform}},
+		{name: "a single version for the leader alone", answers: []Answer{leader}, want: old, known: true},
+		{name: "another control host than the leader has seen two versions", answers: []Answer{leader, {Mixed: true}}},
+		{name: "a record of one that may be cut off", answers: []Answer{{Found: true, Origin: updated}}, want: updated, known: true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			origin, known := Query{ID: 1, Service: "s"}.Combine(c.answers)
+			origin, known := Query{ID: 1, Service: "s"}.Combine(c.answers, asked)
 			assert.Equal(t, known, c.known)
 			assert.Equal(t, origin, c.want)
 		})
