--- a/internal/callers/forward/software_test.go
+++ b/internal/callers/forward/software_test.go
@@ -135,16 +135,24 @@
 	}
 }
 
-// Guards against a record that names the version of the first attempt although another version began the stream after it: its first event
-// must not reach the caller before the control host has the corrected record.
-func TestTheFirstEventWaitsForACorrectedRecord(t *testing.T) {
-	var begun atomic.Int64
+// newCorrectingHandler returns a handler whose streams begin at another software version than the one recorded first, and the number of attempts
+// made.
+func newCorrectingHandler(t *testing.T) (*Handler, *atomic.Int64) {
+	t.Helper()
+	begun := &atomic.Int64{}
 	h, _ := newVersionedHandler(t, func(unit.SoftwareVersion) string {
 		if begun.Add(1) == 1 {
 			return refused
 		}
 		return streamHead + firstEvent + lastChunk
 	}, "v1", "v2")
+	return h, begun
+}
+
+// Guards against a record that names the version of the first attempt although another version began the stream after it: its first event
+// must not reach the caller before the control host has the corrected record.
+func TestTheFirstEventWaitsForACorrectedRecord(t *testing.T) {
+	h, begun := newCorrectingHandler(t)
 	status, _, _, err := serveOnce(t, h, "/resumable/x", "")
 	assert.NilError(t, err)
 	assert.Equal(t, status, http.StatusBadGateway, "no control host gets the record")
@@ -165,13 +173,7 @@
 // Guards against an empty success at the deadline of a stream whose first event waits for a control host until then: the caller is still
 // there and must learn that the request failed.
 func TestAStreamThatWaitsForACorrectedRecordFailsAtItsDeadline(t *testing.T) {
-	var begun atomic.Int64
-	h, _ := newVersionedHandler(t, func(unit.SoftwareVersion) string {
-		if begun.Add(1) == 1 {
-			return refused
-		}
-		return streamHead + firstEvent + lastChunk
-	}, "v1", "v2")
+	h, begun := newCorrectingHandler(t)
 	status, _, body, err := serveChanged(t, h, "/resumable/x", func(call *Call) { call.Timeout = correctionTimeout * 4 / 5 })
 	assert.NilError(t, err)
 	assert.Equal(t, begun.Load(), int64(2))
