Keep customers within their limits over all hosts

Change: the table carries limits (internal/planning/usagelimit), refused with the place if they can't be used. internal/admission/usage has a meter for each entry host and a ledger for each control host, which keeps one token bucket per customer from what meters and other ledgers report; levels of buckets that aren't nearly full return with the sync. Requests over a limit get 429 before their body is read.

--- /dev/null
+++ b/internal/admission/usage/ledger.go
@@ -0,0 +1,296 @@
+package usage
+
+import (
+	"cmp"
+	"container/list"
+	"slices"
+	"time"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/planning/usagelimit"
+)
+
+const (
+	// hostTimeout is how long an entry host may be silent before it isn't covered by the account any more. Hosts report every 50 ms, and
+	// small ones stand still for some tenths of a second.
+	hostTimeout = 1200 * time.Millisecond
+	// peerTimeout is the same for another control host and the entry hosts that it has listed. Control hosts send updates every 50 ms.
+	peerTimeout = 400 * time.Millisecond
+	// hostMemory is how long a silent entry host counts as one that may admit requests on its own. Most cuts are shorter.
+	hostMemory = time.Minute
+	// hostsInterval is the time between two updates that list the entry hosts.
+	hostsInterval = 400 * time.Millisecond
+	// Levels are sent of buckets below tightShare of their capacity, at most maxLevels at once, and so often that a host gets
+	// levelBytesPerSecond. levelBytes is the size of one level.
+	tightShare          = 0.75
+	maxLevels           = 48
+	levelBytes          = 22
+	levelBytesPerSecond = 800
+	// maxDebtTime bounds the debt of a bucket: it is paid within that time, plus the time that two bursts take. It only has to cover what
+	// the hosts admit before they hear of an overload.
+	maxDebtTime = 2 * time.Second
+	// startShare is the share of its capacity with which a bucket begins on a host that has just started. It admits customers within their limits, and
+	// not a whole burst, which may have been used before the start.
+	startShare = 0.4
+)
+
+// Ledger keeps the account of all customers with limits at one control host.
+type Ledger struct {
+	limits   map[Key]usagelimit.Limit
+	accounts map[Key]*account
+	changes  *list.List // of Key, the last changed first
+	number   uint64     // of the last change
+	tight    map[Key]struct{}
+	sessions map[unit.HostName]*session
+	peers    map[unit.HostName]*peerCounters
+	hosts    map[hostKey]unit.Moment // when each entry host was last heard by this or another control host
+	// hostsSentAt is when the entry hosts were last listed for each control host.
+	hostsSentAt map[unit.HostName]unit.Moment
+	share       float64 // share of the entry hosts that the account covers
+	configured  bool    // limits have been set
+}
+
+// account is one customer's bucket and this host's counters.
+type account struct {
+	level             float64
+	at                unit.Moment
+	offered, admitted rate
+	own               Amount // counted by this control host since its start
+	changed           uint64 // number of the last change of own
+	element           *list.Element
+}
+
+// session is what one entry host has reported.
+type session struct {
+	id            uint64
+	number, after uint64
+	applied       map[Key]Amount // of the reports since after
+	heardAt       unit.Moment
+	levelsAt      unit.Moment // when levels were last sent
+	levelsPause   time.Duration
+}
+
+// peerCounters are the counters of another control host as read last.
+type peerCounters struct {
+	epoch    unit.Incarnation
+	number   uint64
+	hosts    []hostKey // that report to it, as listed last
+	heardAt  unit.Moment
+	counters map[Key]Amount
+}
+
+// NewLedger returns a ledger without limits.
+func NewLedger() *Ledger {
+	return &Ledger{
+		limits: map[Key]usagelimit.Limit{}, accounts: map[Key]*account{}, changes: list.New(), tight: map[Key]struct{}{}, sessions: map[unit.HostName]*session{},
+		peers: map[unit.HostName]*peerCounters{}, hosts: map[hostKey]unit.Moment{}, hostsSentAt: map[unit.HostName]unit.Moment{}, share: 1,
+	}
+}
+
+// SetLimits replaces the limits. Customers without a limit are left out.
+func (l *Ledger) SetLimits(now unit.Moment, limits map[unit.CustomerID]usagelimit.Limit) {
+	for key, a := range l.accounts {
+		a.fill(now, l.limits[key], l.share)
+	}
+	l.limits = make(map[Key]usagelimit.Limit, len(limits))
+	for id, limit := range limits {
+		if !limit.InForce() {
+			continue
+		}
+		key := KeyOf(id)
+		l.limits[key] = limit
+		a, known := l.accounts[key]
+		if !known {
+			a = &account{at: now, level: limit.Capacity(), own: Amount{Customer: key}}
+			if !l.configured {
+				a.level *= startShare
+			}
+			l.accounts[key] = a
+		}
+		l.charge(now, key, a, 0, 0)
+	}
+	l.configured = true
+}
+
+// fill adds what the limit has allowed since the last call.
+func (a *account) fill(now unit.Moment, limit usagelimit.Limit, share float64) {
+	if now <= a.at {
+		return
+	}
+	a.level = min(a.level+limit.PerSecond*share*now.Sub(a.at).Seconds(), limit.Capacity())
+	a.at = now
+}
+
+// charge counts an amount against a customer's bucket.
+func (l *Ledger) charge(now unit.Moment, key Key, a *account, offered, admitted float64) {
+	limit := l.limits[key]
+	a.fill(now, limit, l.share)
+	a.offered.add(now, offered)
+	a.admitted.add(now, admitted)
+	maxDebt := 2*limit.Capacity() + limit.PerSecond*maxDebtTime.Seconds()
+	a.level = min(max(a.level-admitted, -maxDebt), limit.Capacity())
+	if limit.InForce() && a.level < tightShare*limit.Capacity() {
+		l.tight[key] = struct{}{}
+	}
+}
+
+// Receive counts an entry host's report.
+func (l *Ledger) Receive(now unit.Moment, host unit.HostName, r Report) {
+	l.hosts[hostKeyOf(host)] = now
+	s := l.sessions[host]
+	switch {
+	case s == nil || s.id != r.Session:
+		s = &session{id: r.Session, after: r.After, applied: map[Key]Amount{}}
+		l.sessions[host] = s
+	case r.Number <= s.number || r.After < s.after:
+		return // repeated or overtaken
+	case r.After > s.after:
+		s.after = r.After
+		clear(s.applied)
+	}
+	s.number, s.heardAt = r.Number, now
+	for _, amount := range r.Amounts {
+		before := s.applied[amount.Customer]
+		s.applied[amount.Customer] = amount
+		l.count(now, amount.Customer, amount.Offered-before.Offered, amount.Admitted-before.Admitted)
+	}
+}
+
+// count adds what was used through this control host.
+func (l *Ledger) count(now unit.Moment, key Key, offered, admitted int64) {
+	if offered == 0 && admitted == 0 {
+		return
+	}
+	a, known := l.accounts[key]
+	if !known {
+		return // a customer without a limit in the newest table
+	}
+	a.own.Offered += offered
+	a.own.Admitted += admitted
+	l.number++
+	a.changed = l.number
+	if a.element == nil {
+		a.element = l.changes.PushFront(key)
+	} else {
+		l.changes.MoveToFront(a.element)
+	}
+	l.charge(now, key, a, float64(offered), float64(admitted))
+}
+
+// Since returns the update for a control host that has read the counters up to a number.
+func (l *Ledger) Since(now unit.Moment, reader unit.HostName, read uint64) Update {
+	u := Update{Number: l.number, After: read}
+	for e := l.changes.Front(); e != nil; e = e.Next() {
+		key, _ := e.Value.(Key)
+		a := l.accounts[key]
+		if a.changed <= read {
+			break
+		}
+		u.Amounts = append(u.Amounts, a.own)
+	}
+	if now.Sub(l.hostsSentAt[reader]) >= hostsInterval {
+		l.hostsSentAt[reader] = now
+		for host, s := range l.sessions {
+			if now.Sub(s.heardAt) < hostTimeout {
+				u.Hosts = append(u.Hosts, hostKeyOf(host))
+			}
+		}
+	}
+	return u
+}
+
+// Merge counts what another control host with the given incarnation has told. It returns the number up to which this host has read the other
+// one's counters. The counters in the first update are taken as they are: they were counted before this host started or was reached again.
+func (l *Ledger) Merge(now unit.Moment, from unit.HostName, epoch unit.Incarnation, u Update) (read uint64) {
+	p := l.peers[from]
+	first := p == nil
+	if first || p.epoch != epoch {
+		if u.After > 0 {
+			return 0 // counters may be missing
+		}
+		p = &peerCounters{epoch: epoch, counters: map[Key]Amount{}}
+		l.peers[from] = p
+	}
+	if u.Number < p.number {
+		return p.number // overtaken
+	}
+	p.number, p.heardAt = u.Number, now
+	if len(u.Hosts) > 0 {
+		p.hosts = u.Hosts
+	}
+	for _, host := range u.Hosts {
+		l.hosts[host] = now
+	}
+	for _, counters := range u.Amounts {
+		before := p.counters[counters.Customer]
+		p.counters[counters.Customer] = counters
+		a, known := l.accounts[counters.Customer]
+		if !known || first {
+			continue
+		}
+		l.charge(now, counters.Customer, a, float64(counters.Offered-before.Offered), float64(counters.Admitted-before.Admitted))
+	}
+	return p.number
+}
+
+// Step computes how many of the entry hosts are covered. It must be called several times per second.
+func (l *Ledger) Step(now unit.Moment) {
+	covered := map[hostKey]struct{}{}
+	for host, s := range l.sessions {
+		switch silent := now.Sub(s.heardAt); {
+		case silent > hostMemory:
+			delete(l.sessions, host)
+		case silent < hostTimeout:
+			covered[hostKeyOf(host)] = struct{}{}
+		}
+	}
+	for _, p := range l.peers {
+		if now.Sub(p.heardAt) > peerTimeout {
+			continue
+		}
+		for _, host := range p.hosts {
+			covered[host] = struct{}{}
+		}
+	}
+	for host, heardAt := range l.hosts {
+		if _, ok := covered[host]; !ok && now.Sub(heardAt) > hostMemory {
+			delete(l.hosts, host)
+		}
+	}
+	if len(l.hosts) == 0 {
+		return
+	}
+	if share := float64(len(covered)) / float64(len(l.hosts)); share != l.share {
+		for key, a := range l.accounts {
+			a.fill(now, l.limits[key], l.share)
+		}
+		l.share = share
+	}
+}
+
+// Levels returns the answer to an entry host's report.
+func (l *Ledger) Levels(now unit.Moment, host unit.HostName) Levels {
+	answer := Levels{Hosts: len(l.hosts), Covered: int(l.share*float64(len(l.hosts)) + 0.5)}
+	s := l.sessions[host]
+	if s == nil || now.Sub(s.levelsAt) < s.levelsPause {
+		return answer
+	}
+	answer.Known = true
+	for key := range l.tight {
+		a, limit := l.accounts[key], l.limits[key]
+		a.fill(now, limit, l.share)
+		if !limit.InForce() || a.level >= tightShare*limit.Capacity() {
+			delete(l.tight, key)
+			continue
+		}
+		answer.Levels = append(answer.Levels, Level{
+			Customer: key, Level: int64(a.level), Offered: uint64(a.offered.perSecond(now)), Admitted: uint64(a.admitted.perSecond(now)),
+		})
+	}
+	if len(answer.Levels) > maxLevels {
+		slices.SortFunc(answer.Levels, func(a, b Level) int { return cmp.Compare(a.Level, b.Level) })
+		answer.Levels = answer.Levels[:maxLevels]
+	}
+	s.levelsAt, s.levelsPause = now, time.Duration(levelBytes*len(answer.Levels))*time.Second/levelBytesPerSecond
+	return answer
+}
--- a/internal/callers/forward/call.go
+++ b/internal/callers/forward/call.go
@@ -30,6 +30,8 @@
 	Timeout time.Duration
 	// Prompt describes a request for a language model; it is nil for other requests.
 	Prompt *Prompt
+	// Stated are the token counts that the caller stated, also without a Prompt; nil if it stated none.
+	Stated *TokenCounts
 	// ResumeAfter is the id of the last event of the stream that the caller has received, empty for a new stream.
 	ResumeAfter string
 	// Resumes is the id of the request that brought the stream's first event, empty if the caller doesn't name exactly one.
@@ -47,6 +49,12 @@
 	Decline func(cause error)
 }
 
+// TokenCounts are the sizes that a caller states for its request.
+type TokenCounts struct {
+	Prompt unit.Tokens
+	Output unit.Tokens // maximum number of tokens in the answer
+}
+
 // Prompt is what a caller states about its request for a language model.
 type Prompt struct {
 	Model  unit.ModelName
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -98,6 +99,9 @@
 	running        map[*request]context.CancelCauseFunc
 	closed         bool // no further requests are served
 	memory         *answermemory.Budget
+
+	usageMu sync.Mutex
+	usage   *usage.Meter
 }
 
 // cancellableAttempt is an attempt that may be cancelled and repeated at another endpoint.
@@ -117,7 +121,7 @@
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
-		running: map[*request]context.CancelCauseFunc{},
+		running: map[*request]context.CancelCauseFunc{}, usage: usage.NewMeter(rand.Uint64(), rand.Float64),
 	}
 }
 
@@ -229,6 +233,8 @@
 	reachedEndpoint bool // an attempt has reached an endpoint, so that further ones count as retries
 	possibleRuns    int  // attempts whose endpoint may have run the request
 	lastEventID     string
+	usageCost       float64               // what was counted for the request with its customer's limit, 0 if nothing
+	usageRefusal    *usageRefusal         // nil unless the request was refused by the limit
 	memory          []*answermemory.Share // for answers of this request
 	atLimit         bool                  // the last choice found that all endpoints are at the limits that they named, or brittle and full
 	permitDeadline  unit.Moment           // end of the wait for a permit, 0 before it
@@ -320,6 +326,9 @@
 	if r.service, ok = r.table.Service(name); !ok {
 		return fault.Internal.New("route %q refers to the unknown service %q", route.Name, name)
 	}
+	if err := r.takeUsage(); err != nil {
+		return err
+	}
 	timeout := r.call.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -62,6 +62,9 @@
 	if c := r.lastChoice; c != nil && c.Limit.InForce() {
 		attributes = append(attributes, "limit-per-second", c.Limit.PerSecond, "limit-version", c.Limit.Version)
 	}
+	if r.usageRefusal != nil {
+		attributes = append(attributes, r.usageRefusal.attributes()...)
+	}
 	if r.retryAfter > 0 {
 		attributes = append(attributes, "retry-after-ms", r.retryAfter.Milliseconds(), "came-back", r.work.PreviouslyRefused)
 	}
@@ -106,6 +109,7 @@
 		r.measure(unit.OutcomeUnknown, "broken")
 		panic(http.ErrAbortHandler)
 	case ctx.Err() != nil && errorx.IsOfType(err, fault.CallerLeft):
+		r.returnUsage()
 		r.log("caller-left", err)
 		r.measure(unit.OutcomeUnknown, fault.Name(err))
 	case r.fallback != nil:
@@ -127,8 +131,11 @@
 
 // refuse answers a request that did not run.
 func (r *request) refuse(err error) {
+	r.returnUsage()
 	status := http.StatusServiceUnavailable
 	switch {
+	case errorx.IsOfType(err, fault.OverLimit):
+		status = http.StatusTooManyRequests
 	case errorx.IsOfType(err, fault.NotFound):
 		status = http.StatusNotFound
 	case errorx.IsOfType(err, fault.Unauthenticated):
@@ -141,7 +148,7 @@
 		r.log("caller-left", err)
 		return
 	}
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		room, _ := fault.RetryAfterOf(err) // 0 if unknown
 		r.retryAfter = room
 		if !errorx.IsOfType(err, fault.Quarantined) && !errorx.IsOfType(err, fault.Unresumable) {
--- a/internal/callers/forward/relay.go
+++ b/internal/callers/forward/relay.go
@@ -230,6 +230,7 @@
 	r.log("relayed", nil)
 	outcome := unit.OutcomeDone
 	if result.notRun {
+		r.returnUsage()
 		outcome = unit.OutcomeNotRun
 	}
 	r.measure(outcome, "")
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/oklog/run"
 
+	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/timer"
@@ -215,6 +216,9 @@
 		g.markLost(name, err.Error())
 		return
 	}
+	if request.Usage != nil && answer.Usage != nil {
+		g.handler.WithUsage(func(m *usage.Meter) { m.Accept(sentAt, *request.Usage, *answer.Usage) })
+	}
 	g.streamsReceived(&request, &answer, streams)
 	g.applyCrashes(name, &request, &answer) // before the rest, because the host may become ready to serve with the rest of the answer
 	g.applyAnswer(name, &answer, sentAt)
@@ -241,6 +245,12 @@
 	request.Stopping = g.Stopping()
 	if t := g.table.Load(); t != nil {
 		request.TableVersion = t.Version
+		if len(t.Limits()) > 0 {
+			g.handler.WithUsage(func(m *usage.Meter) {
+				report := m.Report(now)
+				request.Usage = &report
+			})
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -150,6 +150,7 @@
 		answer.Loads, answer.LoadsAge, answer.IncludedLoadNumber, answer.HasLoads = h.loads.packed, now.Sub(h.loads.computedAt), entry.includedNumber, true
 		entry.loadsSentAt = now
 	}
+	answer.Usage = h.receiveUsage(now, from, request.Usage)
 	answer.Permits, answer.PermitsAge = h.takePermits(now, &entry), now.Sub(h.leaderHeardAt)
 	h.entries[from] = entry
 	if request.NeedsRelays {
@@ -272,7 +273,7 @@
 	if err != nil {
 		return err
 	}
-	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, loads: tally.EndpointLoads{}, relays: known.relays, relaysAt: known.relaysAt}
+	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, readUsage: known.readUsage, loads: tally.EndpointLoads{}, relays: known.relays, relaysAt: known.relaysAt}
 	if len(state.Relays) > 0 {
 		updated.relays, updated.relaysAt = state.Relays, now
 	}
@@ -304,9 +305,12 @@
 		}
 	}
 	h.weightsHistory.Merge(now, state.WeightsAges)
+	if state.Usage != nil {
+		updated.readUsage = h.usage.Merge(now, from, state.Epoch, *state.Usage)
+	}
 	h.receivePermits(now, state.Permits, known.numbering)
 	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges = nil, nil, crashcause.Update{}, nil, nil, nil
+	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges, state.Usage = nil, nil, crashcause.Update{}, nil, nil, nil, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -13,6 +13,7 @@
 
 	"github.com/oklog/run"
 
+	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/agreement/member"
 	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/codec"
@@ -127,6 +128,9 @@
 	streams            streamRecords
 	loads              loadSum
 	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
+	usage              *usage.Ledger                        // account of the customers' limits
+	usageVersion       table.Version                        // of the table whose limits are in usage
+	limited            bool                                 // the table has customers with limits
 	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
 	storeAddress       string                               // address of the store in the table with storeTableVersion
 	storeTableVersion  table.Version
@@ -167,6 +171,7 @@
 	readHolding  uint64                  // number of the peer's last change of cached parts that this host has read
 	readCrashes  uint64                  // number of the peer's last change of crashes that this host has read
 	readCauses   uint64                  // number of the peer's last change of crashCauses that this host has read
+	readUsage    uint64                  // number of the peer's last change of its usage counters that this host has read
 	wanted       map[unit.EndpointID]int // permits that the peer's entry hosts want
 	relays       []unit.HostName         // entry hosts that reach endpoints, as sent last, at relaysAt
 	relaysAt     unit.Moment
@@ -181,6 +186,7 @@
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
 		shared: sharing.New(), crashes: quarantine.New(), crashCauses: crashcause.New(0), permits: map[unit.EndpointID]*endpointPermits{},
 	}
+	h.usage = usage.NewLedger()
 	h.streams, h.trials = newStreamRecords(d.Timer.Now()), parttrial.New(d.Timer.Now())
 	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
--- a/internal/host/hub/loads.go
+++ b/internal/host/hub/loads.go
@@ -14,6 +14,7 @@
 	now := h.Timer.Now()
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.applyUsageLimits(now)
 	total := h.ownLoads(now)
 	for _, peer := range h.peers {
 		if now.Sub(peer.heardAt) < hostSilenceTimeout {
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -45,15 +45,16 @@
 			continue
 		}
 		peer := h.peers[name]
-		registryRead, holdingRead, crashesRead, causesRead := peer.ReadRegistry, peer.ReadHolding, peer.ReadCrashes, peer.ReadCauses
+		registryRead, holdingRead, crashesRead, causesRead, usageRead := peer.ReadRegistry, peer.ReadHolding, peer.ReadCrashes, peer.ReadCauses, peer.ReadUsage
 		if peer.ReadEpoch != h.Incarnation {
-			registryRead, holdingRead, crashesRead, causesRead = 0, 0, 0, 0
+			registryRead, holdingRead, crashesRead, causesRead, usageRead = 0, 0, 0, 0, 0
 		}
 		state.Update, state.Holding = h.registry.Since(now, registryRead), h.ownHoldings.ChangesSince(holdingRead)
 		state.Crashes, state.Causes = h.crashes.Since(now, crashesRead), h.crashCauses.Since(now, causesRead)
 		state.RegistryAfter, state.HoldingAfter, state.CrashesAfter, state.CausesAfter = registryRead, holdingRead, crashesRead, causesRead
 		state.ReadEpoch, state.ReadRegistry, state.ReadHolding, state.ReadCrashes, state.ReadCauses = peer.Epoch, peer.readRegistry, peer.readHolding, peer.readCrashes, peer.readCauses
 		state.Permits, state.Streams = h.countPermits(now, granted[name]), h.streamCopies(name)
+		state.Usage, state.ReadUsage = h.usageUpdate(now, name, usageRead), peer.readUsage
 		messages[name] = state
 	}
 	h.mu.Unlock()
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/control/upgrade"
@@ -58,6 +59,8 @@
 	// WeightsRead is the number of the last change of the ages of weights that the host has read from that hub. It is 0 for hosts that
 	// don't read them.
 	WeightsRead uint64 `cbor:"19,keyasint,omitempty"`
+	// Usage is what customers with limits used. It is nil without such customers.
+	Usage *usage.Report `cbor:"20,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -102,6 +105,8 @@
 	// last change, 0 from hubs that don't know the ages.
 	WeightsAges   versionage.Ages `cbor:"21,keyasint,omitempty"`
 	WeightsNumber uint64          `cbor:"22,keyasint,omitempty"`
+	// Usage answers the report in the request.
+	Usage *usage.Levels `cbor:"23,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -146,6 +151,9 @@
 	Relays []unit.HostName `cbor:"25,keyasint,omitempty"`
 	// WeightsAges says how long ago versions of weights were named. It is sent every agesInterval only.
 	WeightsAges versionage.Ages `cbor:"26,keyasint,omitempty"`
+	// Usage is what customers with limits used through the sender; nil without such customers. ReadUsage is to it what ReadRegistry is to Update.
+	Usage     *usage.Update `cbor:"27,keyasint,omitempty"`
+	ReadUsage uint64        `cbor:"28,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -11,6 +11,7 @@
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/planning/cachescope"
+	"github.com/citronglade/citronglade/internal/planning/usagelimit"
 )
 
 // Version numbers tables. The accepted table with the highest version is in force.
@@ -101,6 +102,8 @@
 	Keys     []string        `cbor:"2,keyasint"`
 	Priority *int            `cbor:"3,keyasint"` // overrides the route's priority
 	Isolated bool            `cbor:"4,keyasint"` // its cached parts aren't shared with other customers
+	// Limit bounds what the customer uses over all hosts together; nil is no limit.
+	Limit *usagelimit.Limit `cbor:"5,keyasint,omitempty"`
 }
 
 // Table is one version of the routing table. It must not change after Compile.
@@ -116,6 +119,7 @@
 	byService          map[ServiceName]*Service
 	customerByKey      map[string]*Customer
 	isolated           map[unit.CustomerID]bool
+	limits             map[unit.CustomerID]usagelimit.Limit
 	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
 }
@@ -213,6 +217,11 @@
 	t.customerByKey = map[string]*Customer{}
 	for i := range t.Customers {
 		c := &t.Customers[i]
+		if c.Limit != nil {
+			if err := c.Limit.Check(); err != nil {
+				return fault.BadInput.Wrap(err, "customer %d, %q", i+1, c.Name)
+			}
+		}
 		for _, key := range c.Keys {
 			if other, ok := t.customerByKey[key]; ok && other != c {
 				return fault.BadInput.New("customers %q and %q share a key", other.Name, c.Name)
@@ -220,8 +229,11 @@
 			t.customerByKey[key] = c
 		}
 	}
-	t.isolated = map[unit.CustomerID]bool{}
+	t.isolated, t.limits = map[unit.CustomerID]bool{}, map[unit.CustomerID]usagelimit.Limit{}
 	for _, c := range t.Customers {
+		if c.Limit != nil && c.Limit.InForce() {
+			t.limits[c.Name] = *c.Limit
+		}
 		if c.Isolated {
 			t.isolated[c.Name] = true
 		}
@@ -272,6 +284,11 @@
 	return c, ok
 }
 
+// Limits returns the limits of all customers that have one. The map must not be changed.
+func (t *Table) Limits() map[unit.CustomerID]usagelimit.Limit {
+	return t.limits
+}
+
 // CacheScope returns the scope of the cached parts that a customer's requests may use; c may be nil or a customer of an older table. A customer
 // that an older table isolates keeps its scope there.
 func (t *Table) CacheScope(c *Customer) cachescope.Scope {
