Admit customers' whole bursts, and shed in proportion to the debt only

Change: nothing is refused above a level of 0; the range in which only part of the requests is admitted is a debt of at most a fifth of the capacity.

--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -31,7 +31,7 @@
 	maxDebtTime = 2 * time.Second
 	// startShare is the share of its capacity with which a bucket begins on a host that has just started. It admits customers within their limits, and
 	// not a whole burst, which may have been used before the start.
-	startShare = 0.4
+	startShare = 0.15
 )
 
 // Ledger keeps the account of all customers with limits at one control host.
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -15,11 +15,12 @@
 	ownShareTime, lateOwnShare = 30 * time.Second, 0.5
 	// ownShareDepth is the time for which the own share may be used at once.
 	ownShareDepth = time.Second
-	// Below fullShare of its capacity, a bucket admits only part of the requests. The rate that is admitted then is the limit's rate times the level
-	// over balanceShare of the capacity, or over the amount for minBalanceTime if that is larger. The lag of the levels must be shorter than the time in which
-	// the level changes by that amount, or the admitted rate would swing.
-	fullShare, balanceShare = 0.5, 0.25
-	minBalanceTime          = 100 * time.Millisecond
+	// A bucket in debt admits only part of the requests: twice the limit's rate at a level of 0, the limit's rate at a debt of balanceShare of the
+	// capacity, or of the amount for minBalanceTime if that is larger, and nothing at twice that debt. Nothing is refused above a level of 0, because a
+	// customer may use its whole burst. The lag of the levels must be shorter than the time in which the level changes by that amount, or the admitted
+	// rate would swing.
+	balanceShare   = 0.1
+	minBalanceTime = 75 * time.Millisecond
 	// idleTime is how long a customer without requests is kept.
 	idleTime = 10 * time.Second
 )
@@ -89,21 +90,20 @@
 
 func (m *Meter) decide(now unit.Moment, c *customer, limit usagelimit.Limit) Decision {
 	d := Decision{Age: now.Sub(m.answerAt), Level: m.estimate(now, c, limit)}
-	capacity := limit.Capacity()
-	if d.Level >= fullShare*capacity {
+	if d.Level > 0 {
 		d.Admitted = true
 		return d
 	}
-	balance := max(balanceShare*capacity, limit.PerSecond*minBalanceTime.Seconds())
-	if d.Level > 0 {
+	balance := max(balanceShare*limit.Capacity(), limit.PerSecond*minBalanceTime.Seconds())
+	if left := 2*balance + d.Level; left > 0 {
 		offered := c.offeredRate.perSecond(now)
 		if c.level != nil {
 			offered = max(offered, float64(c.level.Offered))
 		}
-		d.Admitted = m.draw()*offered < limit.PerSecond*m.coveredShare()*d.Level/balance
+		d.Admitted = m.draw()*offered < limit.PerSecond*m.coveredShare()*left/balance
 	}
 	if !d.Admitted {
-		d.RetryAfter = time.Duration((balance - min(d.Level, balance)) / limit.PerSecond * float64(time.Second))
+		d.RetryAfter = time.Duration(-d.Level / limit.PerSecond * float64(time.Second))
 	}
 	return d
 }
--- a/internal/planning/usagelimit/limit.go
+++ b/internal/planning/usagelimit/limit.go
@@ -25,7 +25,7 @@
 	maxCost = 1e9
 	// minBurstTime is the time for which the rate may be used at once if the burst is smaller. Without it, a limit without a burst would
 	// refuse the second of two requests that come at the same time.
-	minBurstTime = 400 * time.Millisecond
+	minBurstTime = 150 * time.Millisecond
 )
 
 // Limit bounds the use of one customer over all hosts together. The zero value is no limit.
