Gather urgent streams on few engines, and learn engines' speeds from all hosts

One host sends an engine one request in 15 s, too few to learn that engines differ in speed by 2.4 times.

Change: internal/routing/streamgroup selects engines on which the most urgent streams gather and which large prompts avoid, for services whose most urgent stream routes also have the shortest objective. internal/routing/enginespeed averages observed / expected times over all hosts.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -349,7 +349,7 @@
 
 // newWork describes the request for the assigner.
 func (r *request) newWork() assign.Request {
-	w := assign.Request{Service: r.service.Name, Objective: r.route.Objective, ShortestObjective: r.table.ShortestObjective(r.service.Name)}
+	w := assign.Request{Service: r.service.Name, Objective: r.route.Objective, ShortestObjective: r.table.ShortestObjective(r.service.Name), Gathering: r.table.Gathering(r.service.Name, r.route)}
 	if p := r.call.Prompt; p != nil && r.service.Engine != nil {
 		w.HasPrompt, w.Model, w.Parts, w.Prompt, w.Output = true, p.Model, p.Parts, p.Tokens, p.Output
 		w.SetScope(r.table.CacheScope(r.customer))
@@ -433,6 +433,9 @@
 	} else if r.reachedEndpoint && !h.ledger.Take(now, r.service.Name) {
 		return choice, nil, fault.Overloaded.New("service %s has used up its allowance for retries", r.service.Name)
 	}
+	if r.work.Gathering == table.GatherStream {
+		countGathered(choice.InGroup)
+	}
 	r.sends++
 	r.recordOrigin(now, choice)
 	return choice, h.assigner.Begin(now, &r.work, choice), nil
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -32,7 +32,7 @@
 	granted := h.grantPermits(now, issues)
 	state := State{
 		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
-		WantedPermits: h.unmetPermits(now), Relays: h.relaysToSend(now), WeightsAges: h.agesToSend(now),
+		WantedPermits: h.unmetPermits(now), Relays: h.relaysToSend(now), WeightsAges: h.agesToSend(now), Speeds: h.speedsToSend(now),
 	}
 	h.newlyShared = nil
 	if h.isLeader {
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -122,6 +122,7 @@
 	limits             map[unit.CustomerID]usagelimit.Limit
 	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
+	gathering          map[ServiceName]gathering
 }
 
 // Compile checks the table and builds the maps for lookups. It fails with fault.BadInput.
@@ -168,6 +169,7 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		t.updateShortestObjective(r)
 	}
+	t.compileGathering()
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -15,6 +15,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
@@ -93,6 +94,9 @@
 	contacts     map[table.ServiceName]*contact
 	brittle      map[table.ServiceName]brittleness
 	demands      map[table.ServiceName]*decayingRate // requests for brittle services, also those that aren't sent
+	groups       map[table.ServiceName]*serviceGroup
+	speedSamples map[unit.EndpointID]*enginespeed.Average // not yet sent to a control host
+	speedsAt     unit.Moment                              // when a control host last told the relative times of engines, 0 if they aren't used
 }
 
 // Attempt is an attempt of a request at an endpoint.
@@ -112,7 +116,7 @@
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		weightsHistory: versionage.New(), serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
-		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{},
+		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, groups: map[table.ServiceName]*serviceGroup{}, speedSamples: map[unit.EndpointID]*enginespeed.Average{},
 	}
 }
 
@@ -175,6 +179,7 @@
 // SetLoads sets the load that other hosts have at each endpoint, as known at the given moment.
 func (a *Assigner) SetLoads(at unit.Moment, others map[unit.EndpointID]Load) {
 	a.loadsAt = at
+	a.forgetOldSpeeds(at)
 	for id, r := range a.replicas {
 		r.others = others[id]
 	}
@@ -231,7 +236,7 @@
 func (a *Assigner) Choose(now unit.Moment, w *Request, tried []unit.EndpointID) (Choice, bool) {
 	w.prepare()
 	candidates := a.services[w.Service]
-	est := a.estimate(now, w, candidates)
+	est, group := a.estimate(now, w, candidates), a.streamGroup(now, w, candidates)
 	choice := Choice{LoadAge: now.Sub(a.loadsAt)}
 	if len(tried) == 0 && !w.WaitsForPermit && !a.mayPass(now, w) {
 		choice.Withheld = true
@@ -257,7 +262,7 @@
 		}
 		choice.Considered++
 		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers)}
-		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i)))
+		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i))) - groupCost(group, r, w, plan.missing, est.loads[i])
 		if c.tier == tierLastResort {
 			choice.Paused++
 		}
@@ -266,7 +271,7 @@
 		}
 		c.choice = Choice{
 			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Software: r.Software, Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
-			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit,
+			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, InGroup: group != nil && group.Contains(r.ID),
 		}
 		considered = append(considered, c)
 	}
@@ -401,7 +406,7 @@
 	f.answering = true
 	a.heard(now, f.replica)
 	if f.work.HasPrompt {
-		a.learnFirstByte(f, now.Sub(f.sentAt))
+		a.learnFirstByte(now, f, now.Sub(f.sentAt))
 	}
 	f.replica.own = f.replica.own.Sub(Load{PendingPrefill: f.load.PendingPrefill})
 	f.load.PendingPrefill = 0
@@ -422,11 +427,12 @@
 	return serviceStat{latencyFactor: 1, meanDuration: defaultDuration}
 }
 
-func (a *Assigner) learnFirstByte(f *Attempt, observed time.Duration) {
+func (a *Assigner) learnFirstByte(now unit.Moment, f *Attempt, observed time.Duration) {
 	if f.expected <= 0 {
 		return
 	}
 	ratio := min(max(float64(observed)/float64(f.expected), 1/maxSampleRatio), maxSampleRatio)
+	a.sampleSpeed(now, f, ratio)
 	f.replica.latencyFactor = min(max(f.replica.latencyFactor*math.Pow(ratio, replicaLearningRate), minLatencyFactor), maxLatencyFactor)
 	service := f.replica.Service
 	stat := a.serviceStat(service)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -60,6 +60,7 @@
 
 	cached        *partCache
 	latencyFactor float64 // observed / expected time to the first byte
+	relativeTime  relativeTime
 	meanDuration  time.Duration
 
 	failures, attempts  float64 // decayed with the time constant failureDecayTime
@@ -124,7 +125,7 @@
 		// Requests beyond the number of slots wait until one becomes free.
 		return time.Duration(float64(r.meanDuration) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
-	prefill := stat.latencyFactor * r.latencyFactor * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond)
+	prefill := stat.latencyFactor * r.timeFactor() * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond)
 	return time.Duration(prefill) + r.waitForMemory(own, stat, l) + r.waitForSlot(stat, l)
 }
 
@@ -133,7 +134,7 @@
 	if r.engine == nil || !w.HasPrompt {
 		return r.meanDuration
 	}
-	return time.Duration(stat.latencyFactor * r.latencyFactor * (float64(firstTokenOverhead) + float64(missing)/prefillRate*float64(time.Millisecond)))
+	return time.Duration(stat.latencyFactor * r.timeFactor() * (float64(firstTokenOverhead) + float64(missing)/prefillRate*float64(time.Millisecond)))
 }
 
 // stallTime returns how much longer than expected the endpoint has sent nothing while a request of this host waits for its first
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -45,6 +45,7 @@
 	// Resumable says that the answer is a stream with which another request or endpoint may go on.
 	Resumable         bool
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
+	Gathering         table.Gathering
 
 	prefixes []Prefix                                       // by part, computed by prepare
 	partIDs  map[decisions.WeightsNumber][]cachedparts.Part // identifiers of the parts by version of the weights, computed by partsAt
@@ -186,6 +187,7 @@
 	Withheld   bool          // the request isn't sent because the service's endpoints are brittle
 	Brittle    int           // number of brittle endpoints that were passed over because they would probably reject the request
 	LoadAge    time.Duration // age of the loads that other hosts reported
+	InGroup    bool          // the endpoint belongs to the group on which the service's urgent streams are gathered
 	// Limit is the limit that the endpoint named; the zero value if it never named one.
 	Limit requestlimit.Limit
 }
