--- a/internal/routing/assign/simulation_test.go
+++ b/internal/routing/assign/simulation_test.go
@@ -83,7 +83,8 @@
 func newSimulation(engines, hosts int, choose func(*simulation, *modelHost, *Request) (*modelEngine, Choice, bool)) *simulation {
 	r := &simulation{random: rand.New(rand.NewPCG(7, 7)), choose: choose}
 	for i := range engines {
-		r.engines = append(r.engines, &modelEngine{id: unit.EndpointID(fmt.Sprintf("e%02d", i)), cached: list.New(), byKey: map[cachedparts.Part]*list.Element{}})
+		e := newModelEngine(i)
+		r.engines = append(r.engines, &e)
 	}
 	for range hosts {
 		a := New(Settings{ReportSilence: 3 * time.Second, WeightsGrace: time.Hour, WeightsLimit: time.Hour})
@@ -93,6 +94,10 @@
 	return r
 }
 
+func newModelEngine(i int) modelEngine {
+	return modelEngine{id: unit.EndpointID(fmt.Sprintf("e%02d", i)), cached: list.New(), byKey: map[cachedparts.Part]*list.Element{}}
+}
+
 func (e *modelEngine) heldParts(w *Request) int {
 	for i, part := range w.partsAt(1) {
 		if _, ok := e.byKey[part]; !ok {
