Count only prompts that are at least as urgent in the wait of a request

Cause: engines read more urgent prompts first, but the estimated wait of an urgent request counted all prompts that engines had still to read. Urgent requests were refused, or sent to engines that were worse for them.

Change: a load also has the requests, memory and unread prompt tokens that are at least as urgent as each class. Classes are the different priorities of the stream routes of a service (at most 4); a service with one priority has one class, and nothing changes for it. What is learned of first bytes is kept by class. Messages have the urgent loads in fields of their own, so that the previous build reads the others as before; loads from hosts that don't send them count as urgent.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -352,6 +352,7 @@
 	w := assign.Request{Service: r.service.Name, Objective: r.route.Objective, ShortestObjective: r.table.ShortestObjective(r.service.Name)}
 	if p := r.call.Prompt; p != nil && r.service.Engine != nil {
 		w.HasPrompt, w.Model, w.Parts, w.Prompt, w.Output = true, p.Model, p.Parts, p.Tokens, p.Output
+		w.Class, w.Classes = assign.ClassOf(r.priority(), r.table.StreamPriorities(r.service.Name))
 		w.SetScope(r.table.CacheScope(r.customer))
 	}
 	return w
--- a/internal/host/gateway/endpoints.go
+++ b/internal/host/gateway/endpoints.go
@@ -49,6 +49,9 @@
 		return nil
 	}
 	total, err := tally.Unpack(answer.Loads)
+	if err == nil && len(answer.UrgentLoads) > 0 {
+		err = total.UnpackUrgent(answer.UrgentLoads)
+	}
 	if err != nil {
 		g.Log.Error("loads-not-taken", "cause", err.Error())
 		return nil
@@ -98,6 +101,11 @@
 		}
 		a.SetPermitsAge(now, answer.PermitsAge)
 		if v.otherLoads != nil {
+			if len(answer.UrgentLoads) == 0 { // from a control host of an earlier build
+				for id, load := range v.otherLoads {
+					v.otherLoads[id] = load.AllUrgent()
+				}
+			}
 			a.SetLoads(now.Add(-answer.LoadsAge), v.otherLoads)
 		}
 		a.SetHoldings(now, answer.Holding)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -276,7 +276,7 @@
 	}
 	g.sentLoads = append(g.sentLoads[max(0, len(g.sentLoads)+1-keptSentLoads):], sentLoad{number, own})
 	request.Epoch, request.RegistryNumber, request.HoldingNumber, request.WeightsRead = g.hubEpoch, g.registryNumber, g.holdingNumber, g.weightsRead
-	request.Load, request.LoadNumber = load.Pack(), number
+	request.Load, request.UrgentLoad, request.LoadNumber = load.Pack(), load.PackUrgent(), number
 	return g.currentHost, request, streams
 }
 
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -109,6 +109,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := load.UnpackUrgent(request.UrgentLoad); err != nil {
+		return nil, err
+	}
 	control := h.controlHosts()
 	now := h.Timer.Now()
 	h.mu.Lock()
@@ -146,7 +149,8 @@
 		Weights: h.weights, Epoch: h.Incarnation, Update: h.registry.Since(now, since), Holding: h.holdings.ChangesSince(holdingNumber),
 		Crashes: h.crashes.Since(now, crashes), Causes: h.crashCauses.Since(now, causes), NeedsStreams: h.needsStreamRecords(now),
 	}
-	if h.loads.computedAt > entry.loadsSentAt && now.Sub(entry.loadsSentAt) >= loadsPause(len(h.loads.packed)) {
+	if h.loads.computedAt > entry.loadsSentAt && now.Sub(entry.loadsSentAt) >= loadsPause(len(h.loads.packed)+len(h.loads.urgent)) {
+		answer.UrgentLoads = h.loads.urgent
 		answer.Loads, answer.LoadsAge, answer.IncludedLoadNumber, answer.HasLoads = h.loads.packed, now.Sub(h.loads.computedAt), entry.includedNumber, true
 		entry.loadsSentAt = now
 	}
@@ -273,6 +277,9 @@
 	if err != nil {
 		return err
 	}
+	if err := loads.UnpackUrgent(state.UrgentLoads); err != nil {
+		return err
+	}
 	updated := peerState{heardAt: now, numbering: known.numbering, readRegistry: known.readRegistry, readHolding: known.readHolding, readCrashes: known.readCrashes, readCauses: known.readCauses, readUsage: known.readUsage, loads: tally.EndpointLoads{}, relays: known.relays, relaysAt: known.relaysAt}
 	if len(state.Relays) > 0 {
 		updated.relays, updated.relaysAt = state.Relays, now
@@ -309,7 +316,7 @@
 		updated.readUsage = h.usage.Merge(now, from, state.Epoch, *state.Usage)
 	}
 	h.receivePermits(now, state.Permits, known.numbering)
-	state.Update, state.Holding, state.Loads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, quarantine.Update{}
+	state.Update, state.Holding, state.Loads, state.UrgentLoads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, nil, quarantine.Update{}
 	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges, state.Usage = nil, nil, crashcause.Update{}, nil, nil, nil, nil
 	updated.State = state
 	h.peers[from] = updated
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -158,6 +158,7 @@
 type loadSum struct {
 	total      tally.EndpointLoads
 	packed     []byte
+	urgent     []byte // packed load of urgent requests
 	computedAt unit.Moment
 }
 
--- a/internal/host/hub/loads.go
+++ b/internal/host/hub/loads.go
@@ -26,7 +26,7 @@
 		h.entries[name] = entry
 	}
 	delete(total, 0) // loads of endpoints that have left meanwhile
-	h.loads = loadSum{total: total, packed: total.Pack(), computedAt: now}
+	h.loads = loadSum{total: total, packed: total.Pack(), urgent: total.PackUrgent(), computedAt: now}
 }
 
 // ownLoads returns the load of the entry hosts that sync with this control host. The lock must be held.
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -30,8 +30,9 @@
 	h.mu.Lock()
 	h.restartTrials(now, issues)
 	granted := h.grantPermits(now, issues)
+	own := h.ownLoads(now)
 	state := State{
-		Epoch: h.Incarnation, Loads: h.ownLoads(now).Pack(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
+		Epoch: h.Incarnation, Loads: own.Pack(), UrgentLoads: own.PackUrgent(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
 		WantedPermits: h.unmetPermits(now), Relays: h.relaysToSend(now), WeightsAges: h.agesToSend(now),
 	}
 	h.newlyShared = nil
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -61,6 +61,8 @@
 	WeightsRead uint64 `cbor:"19,keyasint,omitempty"`
 	// Usage is what customers with limits used. It is nil without such customers.
 	Usage *usage.Report `cbor:"20,keyasint,omitempty"`
+	// UrgentLoad is the packed load of the host's urgent requests, see tally.EndpointLoads.PackUrgent. It belongs to Load.
+	UrgentLoad []byte `cbor:"21,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -107,6 +109,8 @@
 	WeightsNumber uint64          `cbor:"22,keyasint,omitempty"`
 	// Usage answers the report in the request.
 	Usage *usage.Levels `cbor:"23,keyasint,omitempty"`
+	// UrgentLoads is the packed load of the urgent requests of all entry hosts. It belongs to Loads.
+	UrgentLoads []byte `cbor:"24,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -154,6 +158,8 @@
 	// Usage is what customers with limits used through the sender; nil without such customers. ReadUsage is to it what ReadRegistry is to Update.
 	Usage     *usage.Update `cbor:"27,keyasint,omitempty"`
 	ReadUsage uint64        `cbor:"28,keyasint,omitempty"`
+	// UrgentLoads is the packed load of urgent requests in Loads.
+	UrgentLoads []byte `cbor:"29,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -122,6 +122,7 @@
 	limits             map[unit.CustomerID]usagelimit.Limit
 	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
+	streamPriorities   map[ServiceName][]int
 }
 
 // Compile checks the table and builds the maps for lookups. It fails with fault.BadInput.
@@ -154,7 +155,7 @@
 }
 
 func (t *Table) compileRoutes() error {
-	t.byHost, t.shortestObjectives = map[string][]*Route{}, map[ServiceName]time.Duration{}
+	t.byHost, t.shortestObjectives, t.streamPriorities = map[string][]*Route{}, map[ServiceName]time.Duration{}, map[ServiceName][]int{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := t.checkRoute(r); err != nil {
@@ -167,6 +168,7 @@
 		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		t.updateShortestObjective(r)
+		t.updatePriorities(r)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -185,6 +187,18 @@
 	}
 }
 
+func (t *Table) updatePriorities(r *Route) {
+	if r.Kind != KindStream {
+		return
+	}
+	for _, target := range r.Targets {
+		known := t.streamPriorities[target.Service]
+		if at, ok := slices.BinarySearch(known, r.Priority); !ok {
+			t.streamPriorities[target.Service] = slices.Insert(known, at, r.Priority)
+		}
+	}
+}
+
 func (t *Table) checkRoute(r *Route) error {
 	switch {
 	case r.Host == "":
@@ -263,6 +277,12 @@
 	return t.shortestObjectives[name]
 }
 
+// StreamPriorities returns the different priorities of the stream routes that lead to a service, in ascending order. The slice must not be
+// changed.
+func (t *Table) StreamPriorities(name ServiceName) []int {
+	return t.streamPriorities[name]
+}
+
 // Store returns the cache store, nil if the table has none.
 func (t *Table) Store() *Store {
 	for i := range t.Services {
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -78,7 +78,7 @@
 	weightsHistory *versionage.History
 	heardNewest    bool // a control host has said which weights are the newest
 	loadsAt        unit.Moment
-	serviceStats   map[table.ServiceName]serviceStat
+	serviceStats   map[serviceClass]serviceStat
 	hosts          int // number of entry hosts that share the endpoints
 	hostPeak       int // largest number of entry hosts within hostPeakTime
 	hostPeakAt     unit.Moment
@@ -99,7 +99,7 @@
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		weightsHistory: versionage.New(), serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
+		weightsHistory: versionage.New(), serviceStats: map[serviceClass]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
 		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{},
 	}
--- a/internal/routing/assign/attempt.go
+++ b/internal/routing/assign/attempt.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
-	"github.com/citronglade/citronglade/internal/planning/table"
 )
 
 // Attempt is an attempt of a request at an endpoint.
@@ -32,6 +31,7 @@
 		if w.longAnswer() {
 			f.load.Long = 1
 		}
+		f.load.setUrgent(w)
 		if r.engine != nil {
 			// Other hosts fill the same memory, so the parts that this host sent are kept only as far as they fit into its share.
 			r.cached.add(now, w, r.engine.CacheTokens/unit.Tokens(a.hosts))
@@ -61,11 +61,15 @@
 	if f.work.HasPrompt {
 		a.learnFirstByte(f, now.Sub(f.sentAt))
 	}
-	f.replica.own = f.replica.own.Sub(Load{PendingPrefill: f.load.PendingPrefill})
+	read := Load{PendingPrefill: f.load.PendingPrefill}
 	f.load.PendingPrefill = 0
+	for i := range f.load.Urgent {
+		read.Urgent[i].PendingPrefill, f.load.Urgent[i].PendingPrefill = f.load.Urgent[i].PendingPrefill, 0
+	}
+	f.replica.own = f.replica.own.Sub(read)
 }
 
-// serviceStat holds what was learned about all engines of a service together. With many hosts and many engines, one host sends
+// serviceStat holds what was learned about all engines of a service together, for one class of requests. With many hosts and many engines, one host sends
 // too few requests to each engine to learn from them alone.
 type serviceStat struct {
 	latencyFactor float64       // observed / expected time to the first byte
@@ -73,8 +77,8 @@
 	samples       int           // number of requests in meanDuration, counted up to 1/serviceLearningRate
 }
 
-func (a *Assigner) serviceStat(service table.ServiceName) serviceStat {
-	if known, ok := a.serviceStats[service]; ok {
+func (a *Assigner) serviceStat(key serviceClass) serviceStat {
+	if known, ok := a.serviceStats[key]; ok {
 		return known
 	}
 	return serviceStat{latencyFactor: 1, meanDuration: defaultDuration}
@@ -86,10 +90,10 @@
 	}
 	ratio := min(max(float64(observed)/float64(f.expected), 1/maxSampleRatio), maxSampleRatio)
 	f.replica.latencyFactor = min(max(f.replica.latencyFactor*math.Pow(ratio, replicaLearningRate), minLatencyFactor), maxLatencyFactor)
-	service := f.replica.Service
-	stat := a.serviceStat(service)
+	key := f.work.statKey()
+	stat := a.serviceStat(key)
 	stat.latencyFactor = min(max(stat.latencyFactor*math.Pow(ratio, serviceLearningRate), minLatencyFactor), maxLatencyFactor)
-	a.serviceStats[service] = stat
+	a.serviceStats[key] = stat
 }
 
 // learnDuration updates the mean durations with the total time of a request.
@@ -98,14 +102,14 @@
 	if !f.work.HasPrompt && f.replica.engine != nil {
 		return
 	}
-	stat := a.serviceStat(f.replica.Service)
+	stat := a.serviceStat(f.work.statKey())
 	share := serviceLearningRate
 	if stat.samples < 1/serviceLearningRate {
 		stat.samples++
 		share = 1 / float64(stat.samples)
 	}
 	stat.meanDuration += time.Duration(share * float64(took-stat.meanDuration))
-	a.serviceStats[f.replica.Service] = stat
+	a.serviceStats[f.work.statKey()] = stat
 }
 
 // RecordActivity records that the endpoint of the attempt sent something.
--- a/internal/routing/assign/brittle.go
+++ b/internal/routing/assign/brittle.go
@@ -95,7 +95,7 @@
 		}
 		if a.places(r) != places { // endpoints of a service mostly have the same number of places
 			places = a.places(r)
-			rate = b.sendRate(places, a.serviceStat(w.Service).meanDuration)
+			rate = b.sendRate(places, a.serviceStat(w.statKey()).meanDuration)
 		}
 		allowed += rate / float64(a.hosts)
 	}
--- a/internal/routing/assign/cache_plan.go
+++ b/internal/routing/assign/cache_plan.go
@@ -142,7 +142,7 @@
 }
 
 func (a *Assigner) estimate(now unit.Moment, w *Request, candidates []*replica) *estimates {
-	est := &estimates{homes: a.homes(now, w, candidates), cacheStates: a.cacheStates(now, w, candidates), stat: a.serviceStat(w.Service)}
+	est := &estimates{homes: a.homes(now, w, candidates), cacheStates: a.cacheStates(now, w, candidates), stat: a.serviceStat(w.statKey())}
 	est.sources = a.sources(now, w, candidates, est)
 	est.loads = a.estimateLoads(now, w, candidates, est.stat)
 	if !w.HasPrompt {
--- /dev/null
+++ b/internal/routing/assign/class_test.go
@@ -0,0 +1,61 @@
+package assign
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+)
+
+// Guards against priorities that are put into a wrong class, and against classes in a service with one priority.
+func TestPrioritiesAreDividedIntoClasses(t *testing.T) {
+	cases := []struct {
+		name       string
+		priority   int
+		priorities []int
+		class      Class
+		classes    int
+	}{
+		{name: "no stream routes", priority: 5, classes: 1},
+		{name: "one priority", priority: 5, priorities: []int{5}, classes: 1},
+		{name: "urgent", priority: 1, priorities: []int{1, 5}, classes: 2},
+		{name: "more urgent customer", priority: 0, priorities: []int{1, 5}, classes: 2},
+		{name: "patient", priority: 5, priorities: []int{1, 5}, class: 1, classes: 2},
+		{name: "less urgent customer", priority: 9, priorities: []int{1, 5}, class: 1, classes: 2},
+		{name: "more priorities than classes", priority: 6, priorities: []int{1, 2, 3, 4, 5, 6}, class: 3, classes: 4},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			class, classes := ClassOf(c.priority, c.priorities)
+			assert.Equal(t, class, c.class)
+			assert.Equal(t, classes, c.classes)
+		})
+	}
+}
+
+// Guards against urgent requests that wait, by the estimate, for prompts that engines read after theirs.
+func TestUrgentRequestsWaitForUrgentPromptsOnly(t *testing.T) {
+	a := newAssignerWith(endpoint("a", 1, at(0)))
+	patient, urgent := newPromptWork("p", "1"), newPromptWork("u", "2")
+	patient.Class, patient.Classes, urgent.Classes = 1, 2, 2
+	begin := func(w *Request) *Attempt {
+		choice, ok := a.Choose(at(10), w, nil)
+		assert.Assert(t, ok)
+		return a.Begin(at(10), w, choice)
+	}
+	queueTime := func(w *Request) int64 {
+		choice, _ := a.Choose(at(10), w, nil)
+		return choice.QueueTime.Milliseconds()
+	}
+	flight := begin(patient)
+	assert.Equal(t, queueTime(urgent), int64(0))
+	assert.Assert(t, queueTime(patient) > 0)
+	begin(urgent)
+	assert.Assert(t, queueTime(urgent) > 0)
+	assert.Assert(t, queueTime(patient) > queueTime(urgent))
+	a.Began(at(20), flight)
+	a.End(at(30), flight, EndedComplete)
+	own := a.OwnLoads(at(30))[unit.EndpointID("a")]
+	assert.Equal(t, own.Urgent[0], own.whole(), "only the urgent request is left")
+}
--- a/internal/routing/assign/load_estimate.go
+++ b/internal/routing/assign/load_estimate.go
@@ -19,12 +19,22 @@
 // sendRate measures the load that this host sends to a service.
 type sendRate struct {
 	requests, tokens, unread decayingRate
+	urgent                   [MaxClasses - 1]struct{ requests, tokens, unread decayingRate }
 }
 
 func (s *sendRate) add(now unit.Moment, l Load) {
 	s.requests.add(now, float64(l.Requests))
 	s.tokens.add(now, float64(l.Tokens))
 	s.unread.add(now, float64(l.PendingPrefill))
+	for i, load := range l.Urgent {
+		if load == (ClassLoad{}) {
+			continue
+		}
+		u := &s.urgent[i]
+		u.requests.add(now, float64(load.Requests))
+		u.tokens.add(now, float64(load.Tokens))
+		u.unread.add(now, float64(load.PendingPrefill))
+	}
 }
 
 // estimateLoads estimates the current load at each candidate. The loads reported by other hosts are some hundred milliseconds
@@ -43,15 +53,20 @@
 	lag := min(loadLag+now.Sub(a.loadsAt), maxLoadLag)
 	prefilled := unit.Tokens(prefillTimeShare * prefillRate * float64(lag.Milliseconds()))
 	remaining := math.Exp(-float64(lag) / float64(stat.meanDuration))
-	var requests, tokens, unread []float64
+	var filled, filledUrgent levels
 	for i, r := range candidates {
 		reported := r.others
-		reported.PendingPrefill = max(0, reported.PendingPrefill-prefilled)
-		reported.Requests, reported.Tokens = int(float64(reported.Requests)*remaining+0.5), unit.Tokens(float64(reported.Tokens)*remaining)
+		whole := reported.whole().after(prefilled, remaining)
+		reported.Requests, reported.Tokens, reported.PendingPrefill = whole.Requests, whole.Tokens, whole.PendingPrefill
+		if w.hasUrgent() {
+			reported.Urgent[w.Class] = reported.Urgent[w.Class].after(prefilled, remaining)
+		}
 		loads[i] = r.own.Add(reported).Add(r.unreportedLoad(now, a.hosts))
 		if a.reachable(now, r) && !r.weightsUpdating && !a.suspected(now, r) && !r.limit.InForce() {
-			requests = append(requests, float64(loads[i].Requests))
-			tokens, unread = append(tokens, float64(loads[i].Tokens)), append(unread, float64(loads[i].PendingPrefill))
+			filled.add(loads[i].whole())
+			if w.hasUrgent() {
+				filledUrgent.add(loads[i].Urgent[w.Class])
+			}
 		}
 	}
 	rate, ok := a.sendRates[w.Service]
@@ -60,18 +75,44 @@
 	}
 	// The share that unreportedLoad has already added to each engine's load isn't counted again.
 	hostSeconds := (float64(a.hosts-1) - unreportedShare*float64(min(a.hosts-1, maxUnreportedHosts))) * lag.Seconds()
-	level := Load{
-		Requests:       int(waterLevel(requests, hostSeconds*rate.requests.rateSinceStart(now)) + 0.5),
-		Tokens:         unit.Tokens(waterLevel(tokens, hostSeconds*rate.tokens.rateSinceStart(now))),
-		PendingPrefill: unit.Tokens(waterLevel(unread, hostSeconds*rate.unread.rateSinceStart(now))),
-	}
+	level := filled.fill(hostSeconds*rate.requests.rateSinceStart(now), hostSeconds*rate.tokens.rateSinceStart(now), hostSeconds*rate.unread.rateSinceStart(now))
 	for i := range loads {
 		l := &loads[i]
 		l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
 	}
+	if w.hasUrgent() {
+		u := &rate.urgent[w.Class]
+		level = filledUrgent.fill(hostSeconds*u.requests.rateSinceStart(now), hostSeconds*u.tokens.rateSinceStart(now), hostSeconds*u.unread.rateSinceStart(now))
+		for i := range loads {
+			l := &loads[i].Urgent[w.Class]
+			l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
+		}
+	}
 	return loads
 }
 
+// after returns the load after the engine has prefilled the given number of tokens and the given share of the requests still runs.
+func (l ClassLoad) after(prefilled unit.Tokens, remaining float64) ClassLoad {
+	return ClassLoad{int(float64(l.Requests)*remaining + 0.5), unit.Tokens(float64(l.Tokens) * remaining), max(0, l.PendingPrefill-prefilled)}
+}
+
+// levels are the loads of the engines to which requests may be sent.
+type levels struct {
+	requests, tokens, unread []float64
+}
+
+func (f *levels) add(l ClassLoad) {
+	f.requests = append(f.requests, float64(l.Requests))
+	f.tokens, f.unread = append(f.tokens, float64(l.Tokens)), append(f.unread, float64(l.PendingPrefill))
+}
+
+// fill returns the load up to which the given amounts fill the least loaded engines.
+func (f *levels) fill(requests, tokens, unread float64) ClassLoad {
+	return ClassLoad{
+		Requests: int(waterLevel(f.requests, requests) + 0.5), Tokens: unit.Tokens(waterLevel(f.tokens, tokens)), PendingPrefill: unit.Tokens(waterLevel(f.unread, unread)),
+	}
+}
+
 // waterLevel returns the height up to which the amount fills the lowest of the levels.
 func waterLevel(levels []float64, amount float64) float64 {
 	slices.Sort(levels)
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -124,8 +124,9 @@
 		// Requests beyond the number of slots wait until one becomes free.
 		return time.Duration(float64(r.meanDuration) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
-	prefill := stat.latencyFactor * r.latencyFactor * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond)
-	return time.Duration(prefill) + r.waitForMemory(own, stat, l) + r.waitForSlot(stat, l)
+	ahead := l.ahead(w)
+	prefill := stat.latencyFactor * r.latencyFactor * float64(ahead.PendingPrefill) / prefillRate * float64(time.Millisecond)
+	return time.Duration(prefill) + r.waitForMemory(own, stat, ahead) + r.waitForSlot(stat, ahead)
 }
 
 // unqueuedTime returns the time to the first byte of a request that doesn't wait for others.
@@ -153,7 +154,7 @@
 
 // waitForMemory returns the time until enough running requests have ended to free the needed memory. Their memory is assumed to
 // be freed evenly over the mean duration of a request.
-func (r *replica) waitForMemory(own unit.Tokens, stat serviceStat, l Load) time.Duration {
+func (r *replica) waitForMemory(own unit.Tokens, stat serviceStat, l ClassLoad) time.Duration {
 	short := l.Tokens + own - r.engine.CacheTokens
 	if short <= 0 || l.Tokens <= 0 {
 		return 0
@@ -161,7 +162,7 @@
 	return time.Duration(float64(stat.meanDuration) * float64(short) / float64(l.Tokens))
 }
 
-func (r *replica) waitForSlot(stat serviceStat, l Load) time.Duration {
+func (r *replica) waitForSlot(stat serviceStat, l ClassLoad) time.Duration {
 	over := l.Requests + 1 - r.engine.Slots
 	if over <= 0 || r.engine.Slots <= 0 {
 		return 0
@@ -217,18 +218,37 @@
 // floatLoad is a load with fractional counts.
 type floatLoad struct {
 	requests, tokens, unread float64
+	urgent                   [MaxClasses - 1]floatClassLoad
+}
+
+type floatClassLoad struct {
+	requests, tokens, unread float64
 }
 
 func (l floatLoad) add(other Load) floatLoad {
-	return floatLoad{l.requests + float64(other.Requests), l.tokens + float64(other.Tokens), l.unread + float64(other.PendingPrefill)}
+	for i, o := range other.Urgent {
+		u := &l.urgent[i]
+		u.requests, u.tokens, u.unread = u.requests+float64(o.Requests), u.tokens+float64(o.Tokens), u.unread+float64(o.PendingPrefill)
+	}
+	l.requests, l.tokens, l.unread = l.requests+float64(other.Requests), l.tokens+float64(other.Tokens), l.unread+float64(other.PendingPrefill)
+	return l
 }
 
 func (l floatLoad) round() Load {
-	return Load{Requests: int(l.requests + 0.5), Tokens: unit.Tokens(l.tokens), PendingPrefill: unit.Tokens(l.unread)}
+	rounded := Load{Requests: int(l.requests + 0.5), Tokens: unit.Tokens(l.tokens), PendingPrefill: unit.Tokens(l.unread)}
+	for i, u := range l.urgent {
+		rounded.Urgent[i] = ClassLoad{int(u.requests + 0.5), unit.Tokens(u.tokens), unit.Tokens(u.unread)}
+	}
+	return rounded
 }
 
 func (l floatLoad) scale(by float64) floatLoad {
-	return floatLoad{l.requests * by, l.tokens * by, l.unread * by}
+	for i := range l.urgent {
+		u := &l.urgent[i]
+		u.requests, u.tokens, u.unread = u.requests*by, u.tokens*by, u.unread*by
+	}
+	l.requests, l.tokens, l.unread = l.requests*by, l.tokens*by, l.unread*by
+	return l
 }
 
 // partCache models the prompt parts that an engine has cached: the most recently used ones that fit into its memory.
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -45,6 +45,9 @@
 	// Resumable says that the answer is a stream with which another request or endpoint may go on.
 	Resumable         bool
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
+	// Class is the urgency among the Classes of the service; see ClassOf. Classes below 2 mean that the service has one class.
+	Class   Class
+	Classes int
 
 	prefixes []Prefix                                       // by part, computed by prepare
 	partIDs  map[decisions.WeightsNumber][]cachedparts.Part // identifiers of the parts by version of the weights, computed by partsAt
@@ -145,13 +148,15 @@
 	Long           int         `cbor:"4,keyasint,omitempty"` // requests with long answers
 	ReachableBy    int         `cbor:"5,keyasint,omitempty"` // number of hosts that have lately received something from the endpoint
 	UnreachableBy  int         `cbor:"6,keyasint,omitempty"` // number of hosts that can't reach the endpoint
+	// Urgent are the parts of the load at least as urgent as each class, for services with several classes.
+	Urgent UrgentLoads `cbor:"-"`
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
 	return Load{
 		Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, PendingPrefill: l.PendingPrefill + other.PendingPrefill, Long: l.Long + other.Long,
-		ReachableBy: l.ReachableBy + other.ReachableBy, UnreachableBy: l.UnreachableBy + other.UnreachableBy,
+		ReachableBy: l.ReachableBy + other.ReachableBy, UnreachableBy: l.UnreachableBy + other.UnreachableBy, Urgent: l.Urgent.add(other.Urgent),
 	}
 }
 
@@ -159,7 +164,7 @@
 func (l Load) Sub(other Load) Load {
 	return Load{
 		Requests: max(0, l.Requests-other.Requests), Tokens: max(0, l.Tokens-other.Tokens), PendingPrefill: max(0, l.PendingPrefill-other.PendingPrefill),
-		Long: max(0, l.Long-other.Long), ReachableBy: max(0, l.ReachableBy-other.ReachableBy), UnreachableBy: max(0, l.UnreachableBy-other.UnreachableBy),
+		Long: max(0, l.Long-other.Long), ReachableBy: max(0, l.ReachableBy-other.ReachableBy), UnreachableBy: max(0, l.UnreachableBy-other.UnreachableBy), Urgent: l.Urgent.sub(other.Urgent),
 	}
 }
 
