Limit the wait of requests by class, and keep room for more urgent ones

Cause: one limit of waiting, 0.6 of the shortest objective, held for all classes of a service; a large prompt had to fit into the wait of a small urgent one, and engines' memory for it didn't count at all.

Change: package internal/admission/room decides for services with several classes: a request may wait for 0.6 of the objective of its class, less the share of the engines' time that more urgent requests take (their arrivals at this host times the number of hosts). Services with one class decide as before.

--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -352,7 +352,7 @@
 	w := assign.Request{Service: r.service.Name, Objective: r.route.Objective, ShortestObjective: r.table.ShortestObjective(r.service.Name)}
 	if p := r.call.Prompt; p != nil && r.service.Engine != nil {
 		w.HasPrompt, w.Model, w.Parts, w.Prompt, w.Output = true, p.Model, p.Parts, p.Tokens, p.Output
-		w.Class, w.Classes = assign.ClassOf(r.priority(), r.table.StreamPriorities(r.service.Name))
+		r.setClass(&w)
 		w.SetScope(r.table.CacheScope(r.customer))
 	}
 	return w
@@ -426,8 +426,7 @@
 			WithProperty(fault.RetryAfter, choice.Expected-r.work.MaxLatency)
 	}
 	if r.sends == 0 && !r.takesUp && !choice.Admits(&r.work) {
-		return choice, nil, fault.Overloaded.New("the answer would begin after %s of queueing, but the objective is %s", choice.QueueTime, r.work.Objective).
-			WithProperty(fault.RetryAfter, choice.ExcessWait(&r.work))
+		return choice, nil, r.noRoom(&choice).WithProperty(fault.RetryAfter, choice.ExcessWait(&r.work))
 	}
 	if r.sends == 0 {
 		h.ledger.CountRequest(now, r.service.Name)
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -59,6 +59,7 @@
 			"weights", uint64(c.Weights), "missing-tokens", int64(c.Missing), "again-tokens", int64(c.Recomputed), "source", c.Source, "save", c.Save != "",
 			"weighed", c.Considered, "paused", c.Paused, "limited", c.Limited, "load-age-ms", c.LoadAge.Milliseconds())
 	}
+	attributes = append(attributes, r.roomAttributes()...)
 	if c := r.lastChoice; c != nil && c.Limit.InForce() {
 		attributes = append(attributes, "limit-per-second", c.Limit.PerSecond, "limit-version", c.Limit.Version)
 	}
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -123,6 +123,7 @@
 	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
 	streamPriorities   map[ServiceName][]int
+	streamObjectives   map[ServiceName][]time.Duration // by position in streamPriorities
 }
 
 // Compile checks the table and builds the maps for lookups. It fails with fault.BadInput.
@@ -156,6 +157,7 @@
 
 func (t *Table) compileRoutes() error {
 	t.byHost, t.shortestObjectives, t.streamPriorities = map[string][]*Route{}, map[ServiceName]time.Duration{}, map[ServiceName][]int{}
+	t.streamObjectives = map[ServiceName][]time.Duration{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := t.checkRoute(r); err != nil {
@@ -192,9 +194,14 @@
 		return
 	}
 	for _, target := range r.Targets {
-		known := t.streamPriorities[target.Service]
-		if at, ok := slices.BinarySearch(known, r.Priority); !ok {
+		known, objectives := t.streamPriorities[target.Service], t.streamObjectives[target.Service]
+		at, ok := slices.BinarySearch(known, r.Priority)
+		switch {
+		case !ok:
 			t.streamPriorities[target.Service] = slices.Insert(known, at, r.Priority)
+			t.streamObjectives[target.Service] = slices.Insert(objectives, at, r.Objective)
+		case r.Objective > 0 && (objectives[at] <= 0 || r.Objective < objectives[at]):
+			objectives[at] = r.Objective
 		}
 	}
 }
@@ -283,6 +290,12 @@
 	return t.streamPriorities[name]
 }
 
+// StreamObjectives returns the shortest objectives of the stream routes with each of the priorities in StreamPriorities, 0 for none. The
+// slice must not be changed.
+func (t *Table) StreamObjectives(name ServiceName) []time.Duration {
+	return t.streamObjectives[name]
+}
+
 // Store returns the cache store, nil if the table has none.
 func (t *Table) Store() *Store {
 	for i := range t.Services {
--- a/internal/planning/table/table_test.go
+++ b/internal/planning/table/table_test.go
@@ -101,6 +101,20 @@
 	}
 }
 
+// Guards against classes that are taken from routes of another kind or service, or in another order than that of their urgency.
+func TestStreamPrioritiesAreSorted(t *testing.T) {
+	result := &Table{Version: 1, Services: []Service{{Name: "a"}, {Name: "b"}}, Routes: []Route{
+		{Name: "1", Host: "h", Prefix: "/1/", Kind: KindStream, Timeout: time.Second, Priority: 5, Objective: 1500, Targets: []Target{{"a", 1}}},
+		{Name: "2", Host: "h", Prefix: "/2/", Kind: KindStream, Timeout: time.Second, Priority: 1, Objective: 600, Targets: []Target{{"a", 1}, {"b", 1}}},
+		{Name: "3", Host: "h", Prefix: "/3/", Kind: KindSafe, Timeout: time.Second, Priority: 0, Objective: 100, Targets: []Target{{"a", 1}}},
+		{Name: "4", Host: "h", Prefix: "/4/", Kind: KindStream, Timeout: time.Second, Priority: 1, Objective: 500, Targets: []Target{{"a", 1}}},
+	}}
+	assert.NilError(t, result.Compile())
+	assert.DeepEqual(t, result.StreamPriorities("a"), []int{1, 5})
+	assert.DeepEqual(t, result.StreamObjectives("a"), []time.Duration{500, 1500})
+	assert.DeepEqual(t, result.StreamPriorities("b"), []int{1})
+}
+
 // Guards against a customer that uses cached parts of another one while either of them is isolated, whatever customers were isolated before.
 func TestIsolatedCustomersShareNoCachedParts(t *testing.T) {
 	names := []unit.CustomerID{"a", "b", "c", "d"}
--- a/internal/routing/assign/admission.go
+++ b/internal/routing/assign/admission.go
@@ -14,8 +14,12 @@
 // engines are overloaded. Each further prompt would then take memory and so evict cached parts, slow down the answers that are
 // being generated, and make requests late that would still be in time; overloaded engines would stay overloaded long after the
 // load has fallen. The time that the prompt itself takes isn't counted, so that large prompts aren't refused before small ones.
-// The limit is the same for all classes of requests, because classes with a higher limit would fill the queue.
+// In a service with one class the limit is the same for all requests, because those with a higher limit would fill the queue. With several
+// classes, engines serve urgent requests first, and package room decides.
 func (c *Choice) Admits(w *Request) bool {
+	if c.Room != nil {
+		return c.Room.Admitted
+	}
 	return w.admits(c.QueueTime)
 }
 
@@ -35,5 +39,8 @@
 // ExcessWait returns how much longer the request would wait for others than is admitted. If nothing else arrives, there is room for
 // the request after that time.
 func (c *Choice) ExcessWait(w *Request) time.Duration {
+	if c.Room != nil {
+		return c.Room.Until
+	}
 	return max(0, c.QueueTime-w.waitLimit())
 }
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/admission/room"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/control/versionage"
@@ -93,6 +94,7 @@
 	contacts     map[table.ServiceName]*contact
 	brittle      map[table.ServiceName]brittleness
 	demands      map[table.ServiceName]*decayingRate // requests for brittle services, also those that aren't sent
+	arrivals     map[serviceClass]*arrivalRate       // requests of services with several classes, also those that aren't sent
 }
 
 // New returns an assigner without endpoints.
@@ -101,7 +103,7 @@
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		weightsHistory: versionage.New(), serviceStats: map[serviceClass]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
-		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{},
+		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, arrivals: map[serviceClass]*arrivalRate{},
 	}
 }
 
@@ -227,6 +229,7 @@
 		return choice, false
 	}
 	considered := make([]candidate, 0, len(candidates))
+	kept := a.keptRoom(now, w, candidates)
 	for i, r := range candidates {
 		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || !r.mayWrite(w) {
 			continue
@@ -245,7 +248,8 @@
 			continue
 		}
 		choice.Considered++
-		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers)}
+		decision := a.decideRoom(r, w, est.loads[i], stall, kept)
+		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers, decision)}
 		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i)))
 		if c.tier == tierLastResort {
 			choice.Paused++
@@ -255,7 +259,7 @@
 		}
 		c.choice = Choice{
 			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Software: r.Software, Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
-			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit,
+			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, Room: decision,
 		}
 		considered = append(considered, c)
 	}
@@ -263,6 +267,9 @@
 	if !ok {
 		return choice, false
 	}
+	if len(tried) == 0 && !w.WaitsForPermit {
+		a.recordArrival(now, w, picked.choice.Missing)
+	}
 	picked.choice.LoadAge, picked.choice.Considered, picked.choice.Paused = choice.LoadAge, choice.Considered, choice.Paused
 	picked.choice.Limited, picked.choice.Brittle = choice.Limited, choice.Brittle
 	return picked.choice, true
@@ -309,11 +316,11 @@
 	tierLastResort      // used only if no endpoint of another tier is left
 )
 
-func (a *Assigner) tier(now unit.Moment, r *replica, w *Request, waiting time.Duration) tier {
+func (a *Assigner) tier(now unit.Moment, r *replica, w *Request, waiting time.Duration, decision *room.Decision) tier {
 	switch {
 	case r.pausedUntil > now || r.weightsUpdating || a.suspected(now, r):
 		return tierLastResort
-	case !w.admits(waiting):
+	case decision != nil && !decision.Admitted, decision == nil && !w.admits(waiting):
 		return tierOverloaded
 	default:
 		return tierAvailable
--- a/internal/routing/assign/class.go
+++ b/internal/routing/assign/class.go
@@ -47,9 +47,12 @@
 	return u
 }
 
-// hasUrgent reports whether there may be requests that are less urgent than the request, so that its class has a load of its own.
-func (w *Request) hasUrgent() bool {
-	return w.HasPrompt && int(w.Class) < min(w.Classes, MaxClasses)-1
+// ownClasses returns the number of classes with loads of their own at least as urgent as the request.
+func (w *Request) ownClasses() int {
+	if !w.HasPrompt || w.Classes < 2 {
+		return 0
+	}
+	return min(int(w.Class)+1, min(w.Classes, MaxClasses)-1)
 }
 
 // whole returns the load of all requests, which is that of the last class.
@@ -60,8 +63,13 @@
 // ahead returns the load that the request competes with at an endpoint. Engines read more urgent prompts first, and preempt less urgent
 // requests for their memory and slots.
 func (l Load) ahead(w *Request) ClassLoad {
-	if w.hasUrgent() {
-		return l.Urgent[w.Class]
+	return l.upTo(w, w.Class)
+}
+
+// upTo returns the load of the requests that are at least as urgent as a class that isn't less urgent than the request.
+func (l Load) upTo(w *Request, class Class) ClassLoad {
+	if int(class) < w.ownClasses() {
+		return l.Urgent[class]
 	}
 	return l.whole()
 }
--- a/internal/routing/assign/class_test.go
+++ b/internal/routing/assign/class_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -59,3 +60,27 @@
 	own := a.OwnLoads(at(30))[unit.EndpointID("a")]
 	assert.Equal(t, own.Urgent[0], own.whole(), "only the urgent request is left")
 }
+
+// Guards against patient requests that take the memory that urgent ones need, and against a decision by class in a service with one class.
+func TestMemoryCountsForAdmission(t *testing.T) {
+	a := newAssignerWith(endpoint("a", 1, at(0))) // memory for 11 prompts
+	patient := newPromptWork("p", "1")
+	patient.Class, patient.Classes, patient.Objectives = 1, 2, []time.Duration{time.Minute, time.Minute}
+	patient.Objective = time.Minute
+	urgent := newPromptWork("p", "1")
+	urgent.Classes, urgent.Objectives, urgent.Objective = 2, patient.Objectives, time.Minute
+	admitted := func(w *Request) bool {
+		choice, ok := a.Choose(at(10), w, nil)
+		assert.Assert(t, ok)
+		return choice.Room.Admitted
+	}
+	for range 11 {
+		assert.Assert(t, admitted(patient))
+		choice, _ := a.Choose(at(10), patient, nil)
+		a.Begin(at(10), patient, choice)
+	}
+	assert.Assert(t, !admitted(patient))
+	assert.Assert(t, admitted(urgent))
+	choice, _ := a.Choose(at(10), newPromptWork("p", "1"), nil)
+	assert.Assert(t, choice.Room == nil)
+}
--- a/internal/routing/assign/load_estimate.go
+++ b/internal/routing/assign/load_estimate.go
@@ -53,19 +53,20 @@
 	lag := min(loadLag+now.Sub(a.loadsAt), maxLoadLag)
 	prefilled := unit.Tokens(prefillTimeShare * prefillRate * float64(lag.Milliseconds()))
 	remaining := math.Exp(-float64(lag) / float64(stat.meanDuration))
-	var filled, filledUrgent levels
+	var filled levels
+	filledUrgent := make([]levels, w.ownClasses())
 	for i, r := range candidates {
 		reported := r.others
 		whole := reported.whole().after(prefilled, remaining)
 		reported.Requests, reported.Tokens, reported.PendingPrefill = whole.Requests, whole.Tokens, whole.PendingPrefill
-		if w.hasUrgent() {
-			reported.Urgent[w.Class] = reported.Urgent[w.Class].after(prefilled, remaining)
+		for class := range filledUrgent {
+			reported.Urgent[class] = reported.Urgent[class].after(prefilled, remaining)
 		}
 		loads[i] = r.own.Add(reported).Add(r.unreportedLoad(now, a.hosts))
 		if a.reachable(now, r) && !r.weightsUpdating && !a.suspected(now, r) && !r.limit.InForce() {
 			filled.add(loads[i].whole())
-			if w.hasUrgent() {
-				filledUrgent.add(loads[i].Urgent[w.Class])
+			for class := range filledUrgent {
+				filledUrgent[class].add(loads[i].Urgent[class])
 			}
 		}
 	}
@@ -80,11 +81,11 @@
 		l := &loads[i]
 		l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
 	}
-	if w.hasUrgent() {
-		u := &rate.urgent[w.Class]
-		level = filledUrgent.fill(hostSeconds*u.requests.rateSinceStart(now), hostSeconds*u.tokens.rateSinceStart(now), hostSeconds*u.unread.rateSinceStart(now))
+	for class := range filledUrgent {
+		u := &rate.urgent[class]
+		level = filledUrgent[class].fill(hostSeconds*u.requests.rateSinceStart(now), hostSeconds*u.tokens.rateSinceStart(now), hostSeconds*u.unread.rateSinceStart(now))
 		for i := range loads {
-			l := &loads[i].Urgent[w.Class]
+			l := &loads[i].Urgent[class]
 			l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
 		}
 	}
--- a/internal/routing/assign/overload_simulation_test.go
+++ b/internal/routing/assign/overload_simulation_test.go
@@ -162,7 +162,8 @@
 	c := modelClasses[class]
 	w := &Request{
 		Service: "llm", HasPrompt: true, Model: "m", Prompt: c.shared + c.own, Output: c.output, Objective: c.objective, ShortestObjective: modelClasses[0].objective, Class: Class(class), Classes: len(modelClasses),
-		Parts: []Part{{ID: fmt.Sprint(class, "-", o.random.IntN(c.subjects)), Tokens: c.shared}, {ID: fmt.Sprint(o.random.Uint64()), Tokens: c.own}},
+		Objectives: []time.Duration{modelClasses[0].objective, modelClasses[1].objective},
+		Parts:      []Part{{ID: fmt.Sprint(class, "-", o.random.IntN(c.subjects)), Tokens: c.shared}, {ID: fmt.Sprint(o.random.Uint64()), Tokens: c.own}},
 	}
 	return &overloadCall{class: class, work: w, host: o.random.IntN(overloadHosts), first: o.now}
 }
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -125,8 +125,7 @@
 		return time.Duration(float64(r.meanDuration) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
 	ahead := l.ahead(w)
-	prefill := stat.latencyFactor * r.latencyFactor * float64(ahead.PendingPrefill) / prefillRate * float64(time.Millisecond)
-	return time.Duration(prefill) + r.waitForMemory(own, stat, ahead) + r.waitForSlot(stat, ahead)
+	return r.waitForPrefill(stat, ahead) + r.waitForMemory(own, stat, ahead) + r.waitForSlot(stat, ahead)
 }
 
 // unqueuedTime returns the time to the first byte of a request that doesn't wait for others.
@@ -152,6 +151,11 @@
 	return stall
 }
 
+// waitForPrefill returns the time until the engine has read the prompts.
+func (r *replica) waitForPrefill(stat serviceStat, l ClassLoad) time.Duration {
+	return time.Duration(stat.latencyFactor * r.latencyFactor * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond))
+}
+
 // waitForMemory returns the time until enough running requests have ended to free the needed memory. Their memory is assumed to
 // be freed evenly over the mean duration of a request.
 func (r *replica) waitForMemory(own unit.Tokens, stat serviceStat, l ClassLoad) time.Duration {
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/citronglade/citronglade/internal/admission/room"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
@@ -48,6 +49,8 @@
 	// Class is the urgency among the Classes of the service; see ClassOf. Classes below 2 mean that the service has one class.
 	Class   Class
 	Classes int
+	// Objectives are the shortest objectives of the classes, 0 for none. Without them, one limit of waiting holds for all classes.
+	Objectives []time.Duration
 
 	prefixes []Prefix                                       // by part, computed by prepare
 	partIDs  map[decisions.WeightsNumber][]cachedparts.Part // identifiers of the parts by version of the weights, computed by partsAt
@@ -191,6 +194,8 @@
 	Withheld   bool          // the request isn't sent because the service's endpoints are brittle
 	Brittle    int           // number of brittle endpoints that were passed over because they would probably reject the request
 	LoadAge    time.Duration // age of the loads that other hosts reported
+	// Room is the decision whether the request is admitted at the endpoint; nil for a service with one class.
+	Room *room.Decision
 	// Limit is the limit that the endpoint named; the zero value if it never named one.
 	Limit requestlimit.Limit
 }
