Tell refused callers when there will be room for their class

Cause: Retry-After was the wait beyond the limit, as if nothing else arrived meanwhile: neither more urgent requests, which endpoints serve first, nor the callers that had been refused before. Change: package room divides the excess by the share of time that is left beside more urgent requests, and adds the time that endpoints need for requests of the class that were refused and haven't returned. Each host counts its own refusals and returns and multiplies them by the number of hosts.

--- a/internal/admission/room/room.go
+++ b/internal/admission/room/room.go
@@ -26,6 +26,14 @@
 	Memory unit.Tokens // of each endpoint, including that of such requests that it runs now
 }
 
+// Queue is what goes first when there is room again after a refusal.
+type Queue struct {
+	// Returning is the time that the endpoints need for requests of the class that were refused and haven't returned yet.
+	Returning time.Duration
+	// ClosedFor is how much longer new requests of the class are refused, because one that had returned was.
+	ClosedFor time.Duration
+}
+
 // Request is a request to decide on, at the endpoint that suits it best.
 type Request struct {
 	// Objectives are the shortest objectives of the classes up to that of the request, the most urgent first; 0 means none.
@@ -39,8 +47,7 @@
 	// Returned says that the caller was refused before. Such requests go before new ones of their class.
 	Returned bool
 	Kept     Kept
-	// ClosedFor is how much longer new requests of the class are refused, because one that had returned was.
-	ClosedFor time.Duration
+	Queue    Queue
 }
 
 // Decision says whether a request is sent.
@@ -76,12 +83,14 @@
 			excess = max(excess, wait-limit(r.Objectives[class], left))
 		}
 	}
-	if excess > 0 {
+	switch {
+	case excess > 0 && r.Returned:
 		// What goes first takes its share of the time in which the wait falls.
 		d.Admitted, d.Until = false, time.Duration(float64(excess)/left)
-	}
-	if !r.Returned && r.ClosedFor > 0 {
-		d.Admitted, d.Until = false, max(d.Until, r.ClosedFor)
+	case excess > 0:
+		d.Admitted, d.Until = false, max(time.Duration(float64(excess+r.Queue.Returning)/left), r.Queue.ClosedFor)
+	case !r.Returned && r.Queue.ClosedFor > 0:
+		d.Admitted, d.Until = false, r.Queue.ClosedFor
 	}
 	return d
 }
--- a/internal/admission/room/room_test.go
+++ b/internal/admission/room/room_test.go
@@ -28,8 +28,12 @@
 		{name: "patient, urgent ones nearly refused", request: Request{Objectives: objectives, Waits: []time.Duration{280 * ms, 300 * ms}, Kept: Kept{Share: 0.1}}, until: 11_111_111},
 		{name: "no memory", request: Request{Objectives: objectives, Waits: []time.Duration{0, 50 * ms}, MemoryWait: 50 * ms}, until: 50 * ms},
 		{name: "shorter objective of the route", request: Request{Objectives: objectives, Waits: []time.Duration{0, 500 * ms}, Objective: 600 * ms}, until: 140 * ms},
-		{name: "returned", request: Request{Objectives: objectives, Waits: []time.Duration{0, 1000 * ms}, Returned: true, ClosedFor: 70 * ms}, admitted: true},
-		{name: "new after a returned one was refused", request: Request{Objectives: objectives, Waits: []time.Duration{0, 100 * ms}, ClosedFor: 70 * ms}, until: 70 * ms},
+		{name: "returned", request: Request{Objectives: objectives, Waits: []time.Duration{0, 1000 * ms}, Returned: true, Queue: Queue{ClosedFor: 70 * ms}}, admitted: true},
+		{name: "new after a returned one was refused", request: Request{Objectives: objectives, Waits: []time.Duration{0, 100 * ms}, Queue: Queue{ClosedFor: 70 * ms}}, until: 70 * ms},
+		{
+			name: "others return first", request: Request{Objectives: objectives, Waits: []time.Duration{0, 500 * ms}, Kept: Kept{Share: 0.5}, Queue: Queue{Returning: 40 * ms}},
+			until: 180 * ms,
+		},
 		{name: "no objective", request: Request{Objectives: []time.Duration{0}, Waits: []time.Duration{time.Hour}}, admitted: true},
 	}
 	for _, c := range cases {
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -96,6 +96,7 @@
 	demands      map[table.ServiceName]*decayingRate // requests for brittle services, also those that aren't sent
 	arrivals     map[arrivalKey]*arrivalRate         // requests of services with several classes, also those that aren't sent
 	closedUntil  map[serviceClass]unit.Moment        // until when new requests are refused, because one that had returned was
+	returning    map[serviceClass]*decayingRate      // tokens to prefill of requests that were refused and haven't returned
 }
 
 // New returns an assigner without endpoints.
@@ -104,7 +105,7 @@
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
 		weightsHistory: versionage.New(), serviceStats: map[serviceClass]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
-		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, arrivals: map[arrivalKey]*arrivalRate{}, closedUntil: map[serviceClass]unit.Moment{},
+		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, arrivals: map[arrivalKey]*arrivalRate{}, closedUntil: map[serviceClass]unit.Moment{}, returning: map[serviceClass]*decayingRate{},
 	}
 }
 
@@ -230,7 +231,7 @@
 		return choice, false
 	}
 	considered := make([]candidate, 0, len(candidates))
-	kept := a.keptRoom(now, w, candidates)
+	kept, queue := a.keptRoom(now, w, candidates), a.roomQueue(now, w, candidates)
 	for i, r := range candidates {
 		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || !r.mayWrite(w) {
 			continue
@@ -249,7 +250,7 @@
 			continue
 		}
 		choice.Considered++
-		decision := a.decideRoom(now, r, w, est.loads[i], stall, kept)
+		decision := a.decideRoom(r, w, est.loads[i], stall, kept, queue)
 		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers, decision)}
 		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i)))
 		if c.tier == tierLastResort {
--- a/internal/routing/assign/class_test.go
+++ b/internal/routing/assign/class_test.go
@@ -84,3 +84,27 @@
 	choice, _ := a.Choose(at(10), newPromptWork("p", "1"), nil)
 	assert.Assert(t, choice.Room == nil)
 }
+
+// Guards against refused callers that are all told to return at the time when there is room for one of them.
+func TestRefusedCallersAreToldToReturnOneAfterTheOther(t *testing.T) {
+	a := newAssignerWith(endpoint("a", 1, at(0)))
+	patient := newPromptWork("p", "1")
+	patient.Class, patient.Classes, patient.Objectives = 1, 2, []time.Duration{500 * time.Millisecond, 500 * time.Millisecond}
+	until := time.Duration(0)
+	for range 30 {
+		choice, ok := a.Choose(at(10), patient, nil)
+		assert.Assert(t, ok)
+		if choice.Admits(patient) {
+			assert.Equal(t, until, time.Duration(0), "one is admitted after a refusal")
+			a.Begin(at(10), patient, choice)
+			continue
+		}
+		assert.Assert(t, choice.ExcessWait(patient) > until)
+		until = choice.ExcessWait(patient)
+	}
+	assert.Assert(t, until > 0)
+	returned := *patient
+	returned.PreviouslyRefused = true
+	choice, _ := a.Choose(at(10), &returned, nil)
+	assert.Assert(t, choice.ExcessWait(&returned) < until)
+}
--- a/internal/routing/assign/room.go
+++ b/internal/routing/assign/room.go
@@ -33,9 +33,13 @@
 	if !w.hasRoomLimits() {
 		return
 	}
-	if w.PreviouslyRefused && decision != nil && !decision.Admitted {
+	refused := decision != nil && !decision.Admitted
+	if w.PreviouslyRefused && refused {
 		a.closedUntil[w.statKey()] = now.Add(min(decision.Until, maxClosed))
 	}
+	if refused != w.PreviouslyRefused { // a returned request that is refused will return again
+		a.expectReturn(now, w, missing)
+	}
 	key := arrivalKey{w.statKey(), w.PreviouslyRefused}
 	if a.arrivals[key] == nil {
 		a.arrivals[key] = &arrivalRate{}
@@ -44,6 +48,21 @@
 	a.arrivals[key].memory.add(now, float64(w.memoryTokens()))
 }
 
+// expectReturn records that the caller of a new request was told to return, or that one has returned and is admitted.
+func (a *Assigner) expectReturn(now unit.Moment, w *Request, missing unit.Tokens) {
+	expected := a.returning[w.statKey()]
+	if expected == nil {
+		expected = &decayingRate{}
+		a.returning[w.statKey()] = expected
+	}
+	tokens := float64(missing)
+	if w.PreviouslyRefused {
+		tokens = -tokens
+	}
+	expected.add(now, tokens)
+	expected.sum = max(0, expected.sum)
+}
+
 // keptRoom returns what the engines need for the requests that arrive while the request waits and go first: more urgent ones and, before a
 // new request, those of its class that have returned after a refusal. Arrivals are balanced over the
 // hosts, so that all together get the number of hosts times as many as this one.
@@ -51,13 +70,7 @@
 	if !w.hasRoomLimits() {
 		return room.Kept{}
 	}
-	engines := 0
-	for _, r := range candidates {
-		if a.reachable(now, r) {
-			engines++
-		}
-	}
-	kept, perEngine := room.Kept{}, float64(a.hosts)/float64(max(engines, 1))
+	kept, perEngine := room.Kept{}, a.hostsPerEngine(now, candidates)
 	var first []arrivalKey
 	for class := range w.Class {
 		of := serviceClass{w.Service, class}
@@ -81,12 +94,37 @@
 	return kept
 }
 
+// roomQueue returns what goes before the request when there is room again. Callers return to any host, so that this host sees its part of those
+// that were refused and of those that return. Callers that don't return are forgotten with the time constant of the rate.
+func (a *Assigner) roomQueue(now unit.Moment, w *Request, candidates []*replica) room.Queue {
+	if !w.hasRoomLimits() {
+		return room.Queue{}
+	}
+	queue := room.Queue{ClosedFor: max(0, a.closedUntil[w.statKey()].Sub(now))}
+	if expected := a.returning[w.statKey()]; expected != nil {
+		tokens := expected.sum * expected.decayFactor(now) * a.hostsPerEngine(now, candidates)
+		queue.Returning = time.Duration(tokens * a.serviceStat(w.statKey()).latencyFactor / prefillRate * float64(time.Millisecond))
+	}
+	return queue
+}
+
+// hostsPerEngine returns the number of hosts that share one reachable engine.
+func (a *Assigner) hostsPerEngine(now unit.Moment, candidates []*replica) float64 {
+	engines := 0
+	for _, r := range candidates {
+		if a.reachable(now, r) {
+			engines++
+		}
+	}
+	return float64(a.hosts) / float64(max(engines, 1))
+}
+
 // decideRoom decides whether the request is admitted at the endpoint. It returns nil if the service has one class.
-func (a *Assigner) decideRoom(now unit.Moment, r *replica, w *Request, l Load, stall time.Duration, kept room.Kept) *room.Decision {
+func (a *Assigner) decideRoom(r *replica, w *Request, l Load, stall time.Duration, kept room.Kept, queue room.Queue) *room.Decision {
 	if !w.hasRoomLimits() || r.engine == nil {
 		return nil
 	}
-	request := room.Request{Objectives: w.Objectives[:w.Class+1], Objective: w.Objective, Returned: w.PreviouslyRefused, ClosedFor: a.closedUntil[w.statKey()].Sub(now), Kept: kept, Waits: make([]time.Duration, w.Class+1)}
+	request := room.Request{Objectives: w.Objectives[:w.Class+1], Objective: w.Objective, Returned: w.PreviouslyRefused, Queue: queue, Kept: kept, Waits: make([]time.Duration, w.Class+1)}
 	urgent := unit.Tokens(0) // memory of more urgent requests
 	for class := range w.Class + 1 {
 		load, stat, own := l.upTo(w, class), a.serviceStat(serviceClass{w.Service, class}), unit.Tokens(0)
