--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -62,6 +62,7 @@
 	if c := r.lastChoice; c != nil && r.work.Gathering != table.GatherNone {
 		attributes = append(attributes, "in-stream-group", c.InGroup)
 	}
+	attributes = append(attributes, r.roomAttributes()...)
 	if c := r.lastChoice; c != nil && c.Limit.InForce() {
 		attributes = append(attributes, "limit-per-second", c.Limit.PerSecond, "limit-version", c.Limit.Version)
 	}
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -163,6 +163,7 @@
 type loadSum struct {
 	total      tally.EndpointLoads
 	packed     []byte
+	urgent     []byte // packed load of urgent requests
 	computedAt unit.Moment
 }
 
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -64,6 +64,8 @@
 	Usage *usage.Report `cbor:"20,keyasint,omitempty"`
 	// Speeds are the observed times of engines since the last request, by the indexes of that registry.
 	Speeds []enginespeed.Entry `cbor:"21,keyasint,omitempty"`
+	// UrgentLoad is the packed load of the host's urgent requests, see tally.EndpointLoads.PackUrgent. It belongs to Load.
+	UrgentLoad []byte `cbor:"22,keyasint,omitempty"`
 }
 
 // ControlHost is a known control host.
@@ -112,6 +114,8 @@
 	Usage *usage.Levels `cbor:"23,keyasint,omitempty"`
 	// Speeds are the relative times of all engines of which samples are known, if they are due.
 	Speeds []enginespeed.Entry `cbor:"24,keyasint,omitempty"`
+	// UrgentLoads is the packed load of the urgent requests of all entry hosts. It belongs to Loads.
+	UrgentLoads []byte `cbor:"25,keyasint,omitempty"`
 }
 
 // State is the regular message of a control host to another one, the reader. Indexes are those of the sender's registry.
@@ -161,6 +165,8 @@
 	ReadUsage uint64        `cbor:"28,keyasint,omitempty"`
 	// Speeds are the averages of the times of engines that the sender's entry hosts observed. They are sent every speedsInterval only.
 	Speeds []enginespeed.Entry `cbor:"29,keyasint,omitempty"`
+	// UrgentLoads is the packed load of urgent requests in Loads.
+	UrgentLoads []byte `cbor:"30,keyasint,omitempty"`
 }
 
 // EventBatch is one batch of the cache events of an engine or store.
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -123,6 +123,8 @@
 	sharedScope        cachescope.Scope
 	shortestObjectives map[ServiceName]time.Duration
 	gathering          map[ServiceName]gathering
+	streamPriorities   map[ServiceName][]int
+	streamObjectives   map[ServiceName][]time.Duration // by position in streamPriorities
 }
 
 // Compile checks the table and builds the maps for lookups. It fails with fault.BadInput.
@@ -155,7 +157,8 @@
 }
 
 func (t *Table) compileRoutes() error {
-	t.byHost, t.shortestObjectives = map[string][]*Route{}, map[ServiceName]time.Duration{}
+	t.byHost, t.shortestObjectives, t.streamPriorities = map[string][]*Route{}, map[ServiceName]time.Duration{}, map[ServiceName][]int{}
+	t.streamObjectives = map[ServiceName][]time.Duration{}
 	for i := range t.Routes {
 		r := &t.Routes[i]
 		if err := t.checkRoute(r); err != nil {
@@ -168,6 +171,7 @@
 		}
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 		t.updateShortestObjective(r)
+		t.updatePriorities(r)
 	}
 	t.compileGathering()
 	for _, routes := range t.byHost {
@@ -187,6 +191,23 @@
 	}
 }
 
+func (t *Table) updatePriorities(r *Route) {
+	if r.Kind != KindStream {
+		return
+	}
+	for _, target := range r.Targets {
+		known, objectives := t.streamPriorities[target.Service], t.streamObjectives[target.Service]
+		at, ok := slices.BinarySearch(known, r.Priority)
+		switch {
+		case !ok:
+			t.streamPriorities[target.Service] = slices.Insert(known, at, r.Priority)
+			t.streamObjectives[target.Service] = slices.Insert(objectives, at, r.Objective)
+		case r.Objective > 0 && (objectives[at] <= 0 || r.Objective < objectives[at]):
+			objectives[at] = r.Objective
+		}
+	}
+}
+
 func (t *Table) checkRoute(r *Route) error {
 	switch {
 	case r.Host == "":
@@ -265,6 +286,18 @@
 	return t.shortestObjectives[name]
 }
 
+// StreamPriorities returns the different priorities of the stream routes that lead to a service, in ascending order. The slice must not be
+// changed.
+func (t *Table) StreamPriorities(name ServiceName) []int {
+	return t.streamPriorities[name]
+}
+
+// StreamObjectives returns the shortest objectives of the stream routes with each of the priorities in StreamPriorities, 0 for none. The
+// slice must not be changed.
+func (t *Table) StreamObjectives(name ServiceName) []time.Duration {
+	return t.streamObjectives[name]
+}
+
 // Store returns the cache store, nil if the table has none.
 func (t *Table) Store() *Store {
 	for i := range t.Services {
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/admission/room"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/control/versionage"
@@ -79,7 +80,7 @@
 	weightsHistory *versionage.History
 	heardNewest    bool // a control host has said which weights are the newest
 	loadsAt        unit.Moment
-	serviceStats   map[table.ServiceName]serviceStat
+	serviceStats   map[serviceClass]serviceStat
 	hosts          int // number of entry hosts that share the endpoints
 	hostPeak       int // largest number of entry hosts within hostPeakTime
 	hostPeakAt     unit.Moment
@@ -97,26 +98,19 @@
 	groups       map[table.ServiceName]*serviceGroup
 	speedSamples map[unit.EndpointID]*enginespeed.Average // not yet sent to a control host
 	speedsAt     unit.Moment                              // when a control host last told the relative times of engines, 0 if they aren't used
-}
-
-// Attempt is an attempt of a request at an endpoint.
-type Attempt struct {
-	replica   *replica
-	work      *Request
-	sentAt    unit.Moment
-	load      Load
-	expected  time.Duration
-	answering bool
-	ended     bool
+	arrivals     map[arrivalKey]*arrivalRate              // requests of services with several classes, also those that aren't sent
+	closedUntil  map[serviceClass]unit.Moment             // until when new requests are refused, because one that had returned was
+	returning    map[serviceClass]*decayingRate           // tokens to prefill of requests that were refused and haven't returned
 }
 
 // New returns an assigner without endpoints.
 func New(settings Settings) *Assigner {
 	return &Assigner{
 		settings: settings, replicas: map[unit.EndpointID]*replica{}, services: map[table.ServiceName][]*replica{},
-		weightsHistory: versionage.New(), serviceStats: map[table.ServiceName]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
+		weightsHistory: versionage.New(), serviceStats: map[serviceClass]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
-		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, groups: map[table.ServiceName]*serviceGroup{}, speedSamples: map[unit.EndpointID]*enginespeed.Average{},
+		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, arrivals: map[arrivalKey]*arrivalRate{}, closedUntil: map[serviceClass]unit.Moment{}, returning: map[serviceClass]*decayingRate{},
+		groups: map[table.ServiceName]*serviceGroup{}, speedSamples: map[unit.EndpointID]*enginespeed.Average{},
 	}
 }
 
@@ -243,6 +237,7 @@
 		return choice, false
 	}
 	considered := make([]candidate, 0, len(candidates))
+	kept, queue := a.keptRoom(now, w, candidates), a.roomQueue(now, w, candidates)
 	for i, r := range candidates {
 		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || !r.mayWrite(w) {
 			continue
@@ -261,7 +256,8 @@
 			continue
 		}
 		choice.Considered++
-		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers)}
+		decision := a.decideRoom(r, w, est.loads[i], stall, kept, queue)
+		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers, decision)}
 		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i))) - groupCost(group, r, w, plan.missing, est.loads[i])
 		if c.tier == tierLastResort {
 			choice.Paused++
@@ -271,7 +267,7 @@
 		}
 		c.choice = Choice{
 			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Software: r.Software, Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
-			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, InGroup: group != nil && group.Contains(r.ID),
+			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, Room: decision, InGroup: group != nil && group.Contains(r.ID),
 		}
 		considered = append(considered, c)
 	}
@@ -279,6 +275,9 @@
 	if !ok {
 		return choice, false
 	}
+	if len(tried) == 0 && !w.WaitsForPermit {
+		a.recordArrival(now, w, picked.choice.Missing, picked.choice.Room)
+	}
 	picked.choice.LoadAge, picked.choice.Considered, picked.choice.Paused = choice.LoadAge, choice.Considered, choice.Paused
 	picked.choice.Limited, picked.choice.Brittle = choice.Limited, choice.Brittle
 	return picked.choice, true
@@ -325,11 +324,11 @@
 	tierLastResort      // used only if no endpoint of another tier is left
 )
 
-func (a *Assigner) tier(now unit.Moment, r *replica, w *Request, waiting time.Duration) tier {
+func (a *Assigner) tier(now unit.Moment, r *replica, w *Request, waiting time.Duration, decision *room.Decision) tier {
 	switch {
 	case r.pausedUntil > now || r.weightsUpdating || a.suspected(now, r):
 		return tierLastResort
-	case !w.admits(waiting):
+	case decision != nil && !decision.Admitted, decision == nil && !w.admits(waiting):
 		return tierOverloaded
 	default:
 		return tierAvailable
@@ -365,145 +364,3 @@
 	}
 	return value
 }
-
-// Begin records that the request is sent to the endpoint. It returns nil if the endpoint is no longer known.
-func (a *Assigner) Begin(now unit.Moment, w *Request, choice Choice) *Attempt {
-	r, ok := a.replicas[choice.Endpoint]
-	if !ok {
-		return nil
-	}
-	f := &Attempt{replica: r, work: w, sentAt: now, expected: choice.Expected, load: Load{Requests: 1}}
-	if w.HasPrompt {
-		a.sharedParts.record(now, w)
-		f.load.Tokens, f.load.PendingPrefill = w.memoryTokens(), choice.Missing
-		if w.longAnswer() {
-			f.load.Long = 1
-		}
-		if r.engine != nil {
-			// Other hosts fill the same memory, so the parts that this host sent are kept only as far as they fit into its share.
-			r.cached.add(now, w, r.engine.CacheTokens/unit.Tokens(a.hosts))
-		}
-	}
-	if a.store != nil && choice.Source == a.store.Address && r.engine != nil {
-		a.storeFetches.add(now, float64(choice.Fetched)*r.engine.TokenBytes)
-	}
-	r.own = r.own.Add(f.load)
-	r.addRecent(now, f.load)
-	a.spendPermit(now, r, w)
-	if a.sendRates[w.Service] == nil {
-		a.sendRates[w.Service] = &sendRate{}
-	}
-	a.sendRates[w.Service].add(now, f.load)
-	r.flights[f] = struct{}{}
-	return f
-}
-
-// Began records the first byte of the answer.
-func (a *Assigner) Began(now unit.Moment, f *Attempt) {
-	if f == nil || f.answering || f.ended {
-		return
-	}
-	f.answering = true
-	a.heard(now, f.replica)
-	if f.work.HasPrompt {
-		a.learnFirstByte(now, f, now.Sub(f.sentAt))
-	}
-	f.replica.own = f.replica.own.Sub(Load{PendingPrefill: f.load.PendingPrefill})
-	f.load.PendingPrefill = 0
-}
-
-// serviceStat holds what was learned about all engines of a service together. With many hosts and many engines, one host sends
-// too few requests to each engine to learn from them alone.
-type serviceStat struct {
-	latencyFactor float64       // observed / expected time to the first byte
-	meanDuration  time.Duration // mean time for which a request takes a slot and memory
-	samples       int           // number of requests in meanDuration, counted up to 1/serviceLearningRate
-}
-
-func (a *Assigner) serviceStat(service table.ServiceName) serviceStat {
-	if known, ok := a.serviceStats[service]; ok {
-		return known
-	}
-	return serviceStat{latencyFactor: 1, meanDuration: defaultDuration}
-}
-
-func (a *Assigner) learnFirstByte(now unit.Moment, f *Attempt, observed time.Duration) {
-	if f.expected <= 0 {
-		return
-	}
-	ratio := min(max(float64(observed)/float64(f.expected), 1/maxSampleRatio), maxSampleRatio)
-	a.sampleSpeed(now, f, ratio)
-	f.replica.latencyFactor = min(max(f.replica.latencyFactor*math.Pow(ratio, replicaLearningRate), minLatencyFactor), maxLatencyFactor)
-	service := f.replica.Service
-	stat := a.serviceStat(service)
-	stat.latencyFactor = min(max(stat.latencyFactor*math.Pow(ratio, serviceLearningRate), minLatencyFactor), maxLatencyFactor)
-	a.serviceStats[service] = stat
-}
-
-// learnDuration updates the mean durations with the total time of a request.
-func (a *Assigner) learnDuration(f *Attempt, took time.Duration) {
-	f.replica.meanDuration += time.Duration(replicaLearningRate * float64(took-f.replica.meanDuration))
-	if !f.work.HasPrompt && f.replica.engine != nil {
-		return
-	}
-	stat := a.serviceStat(f.replica.Service)
-	share := serviceLearningRate
-	if stat.samples < 1/serviceLearningRate {
-		stat.samples++
-		share = 1 / float64(stat.samples)
-	}
-	stat.meanDuration += time.Duration(share * float64(took-stat.meanDuration))
-	a.serviceStats[f.replica.Service] = stat
-}
-
-// RecordActivity records that the endpoint of the attempt sent something.
-func (a *Assigner) RecordActivity(now unit.Moment, f *Attempt) {
-	if f != nil {
-		a.heard(now, f.replica)
-	}
-}
-
-// heard records that the endpoint sent something.
-func (a *Assigner) heard(now unit.Moment, r *replica) {
-	r.lastByteAt = now
-	a.contactOf(r.Service).heardAt = now
-}
-
-// End records the end of the attempt.
-func (a *Assigner) End(now unit.Moment, f *Attempt, ending Ending) {
-	if f == nil || f.ended {
-		return
-	}
-	f.ended = true
-	r := f.replica
-	delete(r.flights, f)
-	r.own = r.own.Sub(f.load)
-	r.recordEnding(now, ending)
-	switch ending {
-	case EndedComplete:
-		a.heard(now, r)
-		a.learnDuration(f, now.Sub(f.sentAt))
-	case EndedUnreachable:
-		a.notConnected(now, r)
-	case EndedFull:
-		a.rejected(now, r)
-	case EndedBroken, EndedFailed, EndedMismatch, EndedSilent, EndedByCaller:
-	}
-	if ending == EndedUnreachable || ending == EndedBroken && !f.answering {
-		// The address may now belong to a new process with an empty cache.
-		r.cached.clear()
-	}
-}
-
-// ProbablyFailed reports whether the attempt's endpoint has probably failed: the answer hasn't begun, and either the endpoint has sent
-// nothing at all for longer than the limit, or connection checks have failed since the request was sent.
-func (a *Assigner) ProbablyFailed(now unit.Moment, f *Attempt) bool {
-	if f == nil || f.answering || f.ended {
-		return false
-	}
-	limit := max(silenceTimeout, silenceFactor*f.expected)
-	if f.work.HasPrompt && f.replica.others.ReachableBy > 0 {
-		limit *= busyFactor
-	}
-	return f.silence(now) > limit || f.replica.failedChecks(f.sentAt)
-}
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/citronglade/citronglade/internal/admission/room"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/control/decisions"
 	"github.com/citronglade/citronglade/internal/endpoints/requestlimit"
@@ -46,6 +47,11 @@
 	Resumable         bool
 	ShortestObjective time.Duration // shortest objective of all requests that share the service's endpoints
 	Gathering         table.Gathering
+	// Class is the urgency among the Classes of the service; see ClassOf. Classes below 2 mean that the service has one class.
+	Class   Class
+	Classes int
+	// Objectives are the shortest objectives of the classes, 0 for none. Without them, one limit of waiting holds for all classes.
+	Objectives []time.Duration
 
 	prefixes []Prefix                                       // by part, computed by prepare
 	partIDs  map[decisions.WeightsNumber][]cachedparts.Part // identifiers of the parts by version of the weights, computed by partsAt
@@ -146,13 +152,15 @@
 	Long           int         `cbor:"4,keyasint,omitempty"` // requests with long answers
 	ReachableBy    int         `cbor:"5,keyasint,omitempty"` // number of hosts that have lately received something from the endpoint
 	UnreachableBy  int         `cbor:"6,keyasint,omitempty"` // number of hosts that can't reach the endpoint
+	// Urgent are the parts of the load at least as urgent as each class, for services with several classes.
+	Urgent UrgentLoads `cbor:"-"`
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
 	return Load{
 		Requests: l.Requests + other.Requests, Tokens: l.Tokens + other.Tokens, PendingPrefill: l.PendingPrefill + other.PendingPrefill, Long: l.Long + other.Long,
-		ReachableBy: l.ReachableBy + other.ReachableBy, UnreachableBy: l.UnreachableBy + other.UnreachableBy,
+		ReachableBy: l.ReachableBy + other.ReachableBy, UnreachableBy: l.UnreachableBy + other.UnreachableBy, Urgent: l.Urgent.add(other.Urgent),
 	}
 }
 
@@ -160,7 +168,7 @@
 func (l Load) Sub(other Load) Load {
 	return Load{
 		Requests: max(0, l.Requests-other.Requests), Tokens: max(0, l.Tokens-other.Tokens), PendingPrefill: max(0, l.PendingPrefill-other.PendingPrefill),
-		Long: max(0, l.Long-other.Long), ReachableBy: max(0, l.ReachableBy-other.ReachableBy), UnreachableBy: max(0, l.UnreachableBy-other.UnreachableBy),
+		Long: max(0, l.Long-other.Long), ReachableBy: max(0, l.ReachableBy-other.ReachableBy), UnreachableBy: max(0, l.UnreachableBy-other.UnreachableBy), Urgent: l.Urgent.sub(other.Urgent),
 	}
 }
 
@@ -188,6 +196,8 @@
 	Brittle    int           // number of brittle endpoints that were passed over because they would probably reject the request
 	LoadAge    time.Duration // age of the loads that other hosts reported
 	InGroup    bool          // the endpoint belongs to the group on which the service's urgent streams are gathered
+	// Room is the decision whether the request is admitted at the endpoint; nil for a service with one class.
+	Room *room.Decision
 	// Limit is the limit that the endpoint named; the zero value if it never named one.
 	Limit requestlimit.Limit
 }
