Ask peers for a configuration's validity every 250 ms while a leader is away

Cause: an entry host without a path to the leader asked three peers together with the leader, and waited for all of them: a round took 1 s, the time-out of the leader. A peer passes on only what is left of its own lease. If it had little left, or its answer was lost, two or three rounds took the half of the lease that was left (5 s), and the host refused requests. With more than three peers, those in reach also had their turn only every few seconds.

Change: the leader and the peers are asked by two loops.

--- a/internal/host/entry/host.go
+++ b/internal/host/entry/host.go
@@ -56,10 +56,12 @@
 	// sharesRequestedAt is when the last renewal of the shares was sent.
 	sharesRequestedAt unit.Moment
 	renewalGroup      singleflight.Group
-	restoreDone       bool // the host has restored a peer's routing state or has stopped trying
-	restoredOwn       bool // the host has restored the routing state that it had saved
-	leaderUnreachable bool // the leader didn't answer the last configuration request
-	peersAsked        int  // number of configuration requests sent to peers, to ask them in turn
+	restoreDone       bool           // the host has restored a peer's routing state or has stopped trying
+	restoredOwn       bool           // the host has restored the routing state that it had saved
+	leaderUnreachable bool           // the leader didn't answer the last configuration request
+	peersAsked        int            // number of configuration requests sent to peers, to ask them in turn
+	confirmedBy       unit.HostName  // the peer that last confirmed the configuration, empty if none has
+	confirmations     sync.WaitGroup // requests to peers to confirm the configuration
 }
 
 // target identifies a model or a service.
@@ -99,6 +101,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	h.loadSnapshot()
+	defer h.confirmations.Wait()
 	var actors run.Group
 	stop := func(error) { cancel() }
 	for _, loop := range h.loops() {
--- a/internal/host/entry/loops.go
+++ b/internal/host/entry/loops.go
@@ -10,7 +10,6 @@
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
-	"github.com/citronglade/citronglade/internal/control/follower"
 	"github.com/citronglade/citronglade/internal/control/ledger"
 	"github.com/citronglade/citronglade/internal/network/gossip"
 	"github.com/citronglade/citronglade/internal/network/kind"
@@ -18,17 +17,10 @@
 )
 
 const (
-	confirmInterval = 250 * time.Millisecond
-	// confirmFanout is the number of peers asked at the same time. Asking them one after the other takes up to 1 s each, so that the
-	// lease expired when two of three peers couldn't answer either.
-	confirmFanout     = 3
 	updateInterval    = 250 * time.Millisecond
 	leaderCallTimeout = 2 * time.Second
-	// confirmTimeout bounds a request to the leader. It leaves time to ask several peers within the half of the lease (2.5 s) in which
-	// the lease is renewed.
-	confirmTimeout = time.Second
-	peerTimeout    = time.Second
-	shareInterval  = time.Second
+	peerTimeout       = time.Second
+	shareInterval     = time.Second
 	// quarantineTimeout bounds how long an answer to a caller waits until other hosts know about a crash.
 	quarantineTimeout = 500 * time.Millisecond
 	// earlyRenewalInterval is the shortest time between a renewal of the shares and an early one for a customer at its limit.
@@ -59,7 +51,8 @@
 				announced++
 			}
 		}},
-		{confirmInterval, h.confirmConfiguration},
+		{confirmInterval, h.confirmWithLeader},
+		{confirmInterval, h.confirmWithPeers},
 		{updateInterval, h.fetchNewerConfiguration},
 		{gossip.Interval, h.gossipRound},
 		{shareInterval, h.renewShares},
@@ -74,7 +67,7 @@
 }
 
 // fetchNewerConfiguration fetches the configuration from a peer that has a newer one. A change thus spreads from host to host, and the
-// leader doesn't have to send it to every host. It is a separate loop, because confirmConfiguration may wait for a leader that it
+// leader doesn't have to send it to every host. It is a separate loop, because confirmWithLeader may wait for a leader that it
 // can't reach.
 func (h *Host) fetchNewerConfiguration(ctx context.Context) {
 	h.mu.Lock()
@@ -95,74 +88,6 @@
 	}
 }
 
-// confirmConfiguration renews the lease of the configuration when half of it has passed. If the leader didn't answer the last request,
-// a few peers are asked at the same time. A peer only passes on the remaining time of its own lease, so that hosts without any path to
-// the leader still stop serving.
-func (h *Host) confirmConfiguration(ctx context.Context) {
-	remaining, _ := h.follower.Remaining(h.Timer.Now())
-	if remaining > h.Settings.ConfigurationLease/2 {
-		return
-	}
-	h.mu.Lock()
-	cutOff := h.leaderUnreachable
-	h.mu.Unlock()
-	var group sync.WaitGroup
-	if cutOff {
-		for range min(confirmFanout, len(h.peers)) {
-			h.peersAsked++
-			peer := h.peers[h.peersAsked%len(h.peers)]
-			group.Go(func() { h.askPeer(ctx, peer) })
-		}
-	}
-	answered := h.askLeader(ctx)
-	group.Wait()
-	h.mu.Lock()
-	h.leaderUnreachable = !answered
-	h.mu.Unlock()
-}
-
-// askPeer asks one peer to confirm the configuration.
-func (h *Host) askPeer(ctx context.Context, peer unit.HostName) {
-	h.requestConfiguration(func(payload []byte) ([]byte, error) {
-		ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-		defer cancel()
-		return h.Call(ctx, peer, kind.ConfigurationConfirm, payload)
-	})
-}
-
-// askLeader asks the leader to confirm the configuration. It reports whether there was a usable answer.
-func (h *Host) askLeader(ctx context.Context) (answered bool) {
-	return h.requestConfiguration(func(payload []byte) ([]byte, error) {
-		ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-		defer cancel()
-		return h.Leaders.Call(ctx, 0, kind.ConfigurationGet, payload)
-	})
-}
-
-// requestConfiguration sends a configuration request with call and applies the answer. It reports whether there was a usable answer.
-func (h *Host) requestConfiguration(call func(payload []byte) ([]byte, error)) (answered bool) {
-	payload, err := codec.Marshal(h.follower.Request())
-	if err != nil {
-		return false
-	}
-	sent := h.Timer.Now()
-	raw, err := call(payload)
-	if err != nil {
-		klog.V(1).Infof("configuration: request for confirmation failed: %v", err)
-		return false
-	}
-	var answer follower.Answer
-	if err := codec.Unmarshal(raw, &answer); err != nil {
-		klog.Warningf("configuration: cannot decode the answer: %v", err)
-		return false
-	}
-	if err := h.follower.Accept(sent, answer); err != nil {
-		klog.Warningf("configuration: cannot apply the update: %v", err)
-		return false
-	}
-	return true
-}
-
 // gossipRound sends recent changes to a few peers.
 func (h *Host) gossipRound(ctx context.Context) {
 	h.mu.Lock()
