Keep the list of hosts to relay to while new connections fail

A host asked for the hosts that take its requests only while nothing had been heard since the last failure, so most sync answers came without the list and cleared it. Each request failed to connect to all four endpoints, the relay failed with "no entry host is known that reaches endpoints", was not tried again for 300 ms, and the request was refused. In a traced run this went on for 3.1 s, until no open connection was left:

29:22.994 ... 29:25.812 relay-failed, 10 times, the same cause 29:23.0 to 29:26.1 request-ended refused, 5 to 29 in 100 ms 29:26.1 on request-ended relayed only

Change: a service is also in doubt for 2 s after connections to two of its endpoints (or its only one) have failed.

Test: TestAServiceStaysInDoubtWhileNewConnectionsFail failed before with "cut_off_test.go:127: assertion failed: expression is false: inDoubt(ms + 299)". TestCutOff now asks 5 s after its events, where the answers are the same as before.

--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -240,7 +240,7 @@
 	g.handler.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
 		own, request.Shared, request.Leaving = a.OwnLoads(now), a.TakeSharedNames(), a.Leaving()
 		wanted, request.Limits = a.WantedPermits(now), a.Limits(now, resendLimits)
-		request.Reach, request.NeedsRelays = a.Reach()
+		request.Reach, request.NeedsRelays = a.Reach(now)
 	})
 	request.Stopping = g.Stopping()
 	if t := g.table.Load(); t != nil {
--- a/internal/routing/assign/cut_off.go
+++ b/internal/routing/assign/cut_off.go
@@ -16,6 +16,11 @@
 	minUnconnected = 6
 	// probeInterval is the time between two rounds of checks of a service from which this host may be cut off.
 	probeInterval = time.Second
+	// minDoubtful is the number of endpoints of a service, or all of them if there are fewer, to which connections must have failed within
+	// doubtTime for the service to stay in doubt although something was heard since. Open connections to endpoints may outlive the path on
+	// which new ones are made; their answers then alternate with failed connections every few milliseconds.
+	minDoubtful = 2
+	doubtTime   = 2 * time.Second
 )
 
 // Reach says how many of the services a host reaches. Other hosts are told it.
@@ -66,19 +71,30 @@
 	return all > 0 && failed >= min(all, minUnconnected)
 }
 
-// Reach returns how many of the services with endpoints this host reaches, and whether it may be cut off from one of them.
-func (a *Assigner) Reach() (reach Reach, inDoubt bool) {
+// failsOften reports whether connections to several endpoints of the service have failed lately.
+func (a *Assigner) failsOften(now unit.Moment, service table.ServiceName) bool {
+	failed, all := 0, len(a.services[service])
+	for _, r := range a.services[service] {
+		if r.connectFailedAt > 0 && now.Sub(r.connectFailedAt) < doubtTime {
+			failed++
+		}
+	}
+	return all > 0 && failed >= min(all, minDoubtful)
+}
+
+// Reach returns how many of the services with endpoints this host reaches, and whether it may be cut off from one of them: connections to
+// its endpoints fail, even if others still answer.
+func (a *Assigner) Reach(now unit.Moment) (reach Reach, inDoubt bool) {
 	all, lost := 0, 0
 	for service, endpoints := range a.services {
 		if len(endpoints) == 0 {
 			continue
 		}
 		all++
-		if c, ok := a.contacts[service]; ok && c.inDoubt() {
-			inDoubt = true
-			if a.CutOff(service) {
-				lost++
-			}
+		c, ok := a.contacts[service]
+		inDoubt = inDoubt || ok && c.inDoubt() || a.failsOften(now, service)
+		if a.CutOff(service) {
+			lost++
 		}
 	}
 	switch lost {
--- a/internal/routing/assign/cut_off_test.go
+++ b/internal/routing/assign/cut_off_test.go
@@ -71,7 +71,7 @@
 			a.SetLoads(at(0), heardByOthers)
 			c.events(a)
 			assert.Equal(t, a.CutOff(endpoints[0].Service), c.want)
-			reach, inDoubt := a.Reach()
+			reach, inDoubt := a.Reach(at(5_000)) // later than doubtTime after all events
 			assert.Equal(t, reach, c.reach)
 			assert.Equal(t, inDoubt, c.inDoubt)
 			for id, load := range a.OwnLoads(at(350)) {
@@ -107,3 +107,24 @@
 	assert.Assert(t, !a.CutOff(endpoints[0].Service))
 	assert.Equal(t, len(a.Checks(at(4_000))), 0)
 }
+
+// Guards against a host that isn't told to which hosts it may hand requests, because answers on open connections alternate with connections
+// that can't be made.
+func TestAServiceStaysInDoubtWhileNewConnectionsFail(t *testing.T) {
+	a := newAssignerWith(endpoint("e0", 1, at(0)), endpoint("e1", 1, at(0)), endpoint("e2", 1, at(0)))
+	inDoubt := func(ms int) bool {
+		_, doubt := a.Reach(at(ms))
+		return doubt
+	}
+	a.CheckFailed(at(100), "e1")
+	a.Reached(at(110), "e0")
+	assert.Assert(t, !inDoubt(120), "a single endpoint may be down")
+	for ms := 200; ms < 4_000; ms += 300 {
+		a.CheckFailed(at(ms), "e1")
+		a.CheckFailed(at(ms), "e2")
+		assert.Assert(t, inDoubt(ms+5))
+		a.Reached(at(ms+10), "e0")
+		assert.Assert(t, inDoubt(ms+299))
+	}
+	assert.Assert(t, !inDoubt(6_000))
+}
