Take answers with an invalid status for broken ones

Cause: everything below 200 was skipped as an interim answer, also 000 and 099, which left their bodies to be read as the answer; 600 to 999 were forwarded to the caller. Change: a status outside of 100 to 599, or 101, is a broken answer. The endpoint may have run the request, so the caller gets 502 unless the route allows another attempt. 1xx were bounded to four before.

Test: TestInvalidStatusesAreBrokenAnswers failed before:

The other statuses (99, -20, 2000) were refused by net/http before.

--- a/internal/callers/exchange/connection.go
+++ b/internal/callers/exchange/connection.go
@@ -29,6 +29,8 @@
 	backgroundSendBytes = 16 << 10
 	// maxDrainBytes limits what is read from an answer to another request before its connection is given up.
 	maxDrainBytes = 1 << 20
+	// minStatus and maxStatus are the first and the last status that HTTP defines a class for (RFC 9110, section 15).
+	minStatus, maxStatus = 100, 599
 )
 
 var errHeadTooLarge = errors.New("the head of the answer is too large")
@@ -152,7 +154,10 @@
 		if err != nil {
 			return nil, fault.BrokenAnswer.Wrap(err, "cannot read the answer of %s", c.peer.endpoint)
 		}
-		if response.StatusCode < http.StatusOK {
+		switch status := response.StatusCode; {
+		case status < minStatus || status > maxStatus || status == http.StatusSwitchingProtocols:
+			return nil, fault.BrokenAnswer.New("%s answered with status %d, which ends no request", c.peer.endpoint, status)
+		case status < http.StatusOK:
 			continue
 		}
 		if r.Matches == nil || r.Matches(response.Header) {
