Refuse answers that end before the endpoint had the whole request

Cause: when an endpoint answered a long upload at once, without a length, and its connection was reset, the upload's write got the connection's error. The read then got an end without an error, because the kernel reports an error only once, and the part that had arrived was forwarded as a complete answer. Change: a body that ends with its connection is whole only if the request had been sent whole. A write that is still running at the end is stopped by a deadline.

Tests: with raw endpoints on loopback that answer at once and then reset, close or stop reading. All failed before:

TestAnAnswerThatBreaksTheUploadIsNotComplete/reset: early_test.go:76: errorx.IsOfType(err, fault.BrokenAnswer): <nil> TestEarlyAndInvalidAnswersAreNotForwarded/no_length/once/x: 200 (status int) != 502 (http.StatusBadGateway int): half of it .../no_length/safe/x: half of it (body string) != done (string) .../no_length,_an_event/stream/x: 200 (status int) != 502 .../status_000_before_an_answer/once/x: 200 (status int) != 502: done .../status_600/once/x: 600 (status int) != 502: done

Cases with a length, chunks, status 99 and endless interim answers passed before. Measured: go test -count 1 -race ./internal/callers/exchange ./internal/callers/forward passes.

--- a/internal/callers/exchange/answer.go
+++ b/internal/callers/exchange/answer.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
 )
@@ -23,13 +24,18 @@
 	stopCancel func() bool
 	complete   bool
 	closed     bool
+	// writeEnded is set when written has been received, sent if the whole request was sent.
+	writeEnded, sent bool
 }
 
-// Read reads from the body. It returns io.EOF only after the whole body, and fault.BrokenAnswer when the answer breaks off.
+// Read reads from the body. It returns io.EOF only after the whole body, and fault.BrokenAnswer when the answer breaks off. A body that
+// ends with its connection counts as whole only if the whole request had been sent.
 func (a *Answer) Read(b []byte) (int, error) {
 	n, err := a.body.response.Body.Read(b)
 	switch {
 	case err == nil:
+	case errors.Is(err, io.EOF) && a.EndsWithConnection() && !a.body.requestSentAtEnd():
+		err = fault.BrokenAnswer.New("%s ended its answer with the connection before it had the whole request", a.body.connection.peer.endpoint)
 	case errors.Is(err, io.EOF):
 		a.body.complete = true
 	default:
@@ -68,10 +74,23 @@
 
 // wholeRequestSent reports whether the request was sent completely. An endpoint that answers earlier still expects the rest of it.
 func (b *body) wholeRequestSent() bool {
+	if b.writeEnded {
+		return b.sent
+	}
 	select {
 	case err := <-b.pending.written:
-		return err == nil
+		b.writeEnded, b.sent = true, err == nil
 	default:
-		return false
 	}
+	return b.sent
+}
+
+// requestSentAtEnd ends the sending of the request, because the endpoint has closed the connection, and reports whether all of it had been
+// sent. When a connection is reset, either the write or the read gets the error, and the other one an end without an error.
+func (b *body) requestSentAtEnd() bool {
+	if !b.writeEnded {
+		_ = b.connection.socket.SetWriteDeadline(time.Now()) // fails only if the connection is closed, which ends the write, too
+		b.writeEnded, b.sent = true, <-b.pending.written == nil
+	}
+	return b.sent
 }
