Take answers with a status above 599 for broken ones at citronglade host

Cause: the dispatcher refused statuses below 200 only, so a caller got 600 or 999 as a complete answer. Test: TestEarlyAndInvalidAnswersAreBroken, with a raw endpoint on loopback that answers a long upload at once and resets the connection.

status_600: early_test.go:55: expression is false: errorx.IsOfType(err, fault.BrokenAnswer): 600 <nil> status_999: ...: 999 <nil>

The other cases passed before, which shows that they can't happen here: 000, 99 and 099 are refused, interim answers without end are bounded by net/http, and an answer that is cut or has no length never counts as complete. Measured: go test -race -count 1 ./internal/callers/dispatch passes.

--- a/internal/callers/dispatch/answer.go
+++ b/internal/callers/dispatch/answer.go
@@ -16,6 +16,9 @@
 
 const refusalHeader = "Citronglade-Refused"
 
+// maxStatus is the last status that HTTP defines a class for (RFC 9110, section 15).
+const maxStatus = 599
+
 // newAnswer builds an Answer without a body from the response's status and header. Numbers that can't be parsed count as
 // absent.
 func newAnswer(response *http.Response, a Attempt) *Answer {
@@ -66,7 +69,7 @@
 	if resumed && a.Weights != "" && answer.Weights != a.Weights {
 		return fault.BrokenAnswer.New("endpoint %s resumes with weights %q instead of %q", a.Endpoint, answer.Weights, a.Weights)
 	}
-	if response.StatusCode < http.StatusOK {
+	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return fault.BrokenAnswer.New("endpoint %s answers with status %d, which ends no request", a.Endpoint, answer.Status)
 	}
 	// Without Content-Length or chunked encoding, a broken connection looks like the end of the answer.
