--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -242,7 +242,7 @@
 	g.handler.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) {
 		own, request.Shared, request.Leaving = a.OwnLoads(now), a.TakeSharedNames(), a.Leaving()
 		wanted, request.Limits = a.WantedPermits(now), a.Limits(now, resendLimits)
-		request.Reach, request.NeedsRelays = a.Reach()
+		request.Reach, request.NeedsRelays = a.Reach(now)
 		speeds = a.TakeSpeedSamples()
 	})
 	request.Stopping = g.Stopping()
