--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -171,9 +171,10 @@
 	return r
 }
 
-// Accept applies a control host's answer to a report that was sent at the given moment. Answers must be accepted in the order of their reports.
+// Accept applies a control host's answer to a report that was sent at the given moment. It ignores the answer if another one has been accepted since
+// the report was made: the amounts of the two reports overlap.
 func (m *Meter) Accept(sentAt unit.Moment, r Report, l Levels) {
-	if r.Number <= m.acked {
+	if r.Number <= m.acked || r.After != m.acked {
 		return
 	}
 	m.acked, m.answerAt, m.answered = r.Number, max(m.answerAt, sentAt), true
--- a/internal/callers/forward/usage.go
+++ b/internal/callers/forward/usage.go
@@ -5,7 +5,6 @@
 
 	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/base/fault"
-	"github.com/citronglade/citronglade/internal/base/unit"
 )
 
 var (
@@ -55,15 +54,15 @@
 	if r.call.Stated == nil {
 		return -1
 	}
-	prompt := r.call.Stated.Prompt
+	prompt := float64(r.call.Stated.Prompt)
 	if r.call.Prompt != nil {
-		var parts unit.Tokens
+		parts := 0.0 // a sum of integers could overflow
 		for _, part := range r.call.Prompt.Parts {
-			parts += part.Tokens
+			parts += float64(part.Tokens)
 		}
 		prompt = max(prompt, parts)
 	}
-	return float64(prompt) + float64(r.call.Stated.Output)
+	return prompt + float64(r.call.Stated.Output)
 }
 
 // returnUsage takes back what takeUsage counted, because no endpoint has run the request.
--- a/internal/host/hub/usage.go
+++ b/internal/host/hub/usage.go
@@ -31,9 +31,10 @@
 	}
 }
 
-// receiveUsage counts an entry host's report and returns the answer to it, nil for a host that sends none.
+// receiveUsage counts an entry host's report and returns the answer to it, nil for a host that sends none. It is nil also while this host has no
+// table with limits, so that an entry host with a newer table doesn't take its customers for unused and goes on reporting what they use.
 func (h *Hub) receiveUsage(now unit.Moment, from unit.HostName, report *usage.Report) *usage.Levels {
-	if report == nil {
+	if report == nil || !h.limited {
 		return nil
 	}
 	h.usage.Receive(now, from, *report)
--- a/internal/planning/usagelimit/limit.go
+++ b/internal/planning/usagelimit/limit.go
@@ -63,14 +63,14 @@
 	return max(l.Burst, l.PerSecond*minBurstTime.Seconds())
 }
 
-// Cost returns what a request counts that states the given number of tokens, negative if it states none.
+// Cost returns what a request counts that states the given number of tokens, negative if it states none. It is a whole number, at least 1:
+// a request that counts nothing wouldn't be limited.
 func (l Limit) Cost(tokens float64) float64 {
 	switch {
 	case l.Unit != Tokens:
 		return 1
 	case tokens < 0:
-		return min(l.Unstated, maxCost)
-	default:
-		return min(max(tokens, 1), maxCost)
+		tokens = l.Unstated
 	}
+	return min(max(math.Ceil(tokens), 1), maxCost)
 }
