Count a returned amount once when an answer to a report is lost

Cause: a state machine test of meters and ledgers (rapid, 10,000 checks, beside one list of all admitted requests). When a host asked another control host after a lost answer, a net returned amount was counted by both, so the customer's bucket gained it twice; an answer to an older report than the last one was applied to amounts that overlap. Change: a meter reports a net return once only, and accepts answers to its last report only.

--- /dev/null
+++ b/internal/admission/usage/machine_test.go
@@ -0,0 +1,247 @@
+package usage
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/planning/usagelimit"
+)
+
+const (
+	machineMeters, machineLedgers = 3, 2
+	machineChecks                 = "10000"
+)
+
+// machine exchanges messages between meters and ledgers in any order, and keeps beside them one list of all admitted requests.
+type machine struct {
+	now      unit.Moment
+	limit    usagelimit.Limit
+	sessions uint64
+	meters   [machineMeters]*Meter
+	ledgers  [machineLedgers]*machineLedger
+	messages []func()
+	admitted []admittedRequest
+}
+
+// admittedRequest is a request that a meter admitted by the levels, or its return with a negative amount.
+type admittedRequest struct {
+	meter    *Meter
+	at       unit.Moment
+	amount   int64
+	returned bool
+}
+
+// machineLedger is a control host from its start on.
+type machineLedger struct {
+	*Ledger
+	epoch       unit.Incarnation
+	acked       uint64 // of this ledger's counters, by the other ledger in its incarnation ackedBy
+	ackedBy     unit.Incarnation
+	joined      bool // it has heard the other ledger; what that one had counted before is its baseline
+	joinedAt    unit.Moment
+	joinedLevel float64
+	lost        int64 // that restarts have lost since it joined
+}
+
+func newMachine() *machine {
+	// The bucket is so large that its level shows all that was charged, and is filled so slowly that this doesn't matter.
+	m := &machine{now: unit.Moment(time.Hour), limit: usagelimit.Limit{PerSecond: 1e-6, Burst: 1e9, Unit: usagelimit.Tokens}}
+	for i := range m.meters {
+		m.startMeter(i)
+	}
+	for i := range m.ledgers {
+		m.startLedger(i)
+	}
+	return m
+}
+
+func (m *machine) startMeter(i int) {
+	if old := m.meters[i]; old != nil {
+		if c := old.customers[KeyOf(modelCustomer)]; c != nil {
+			for _, l := range m.ledgers {
+				l.lost += max(0, c.admitted-c.ackedAdmitted-c.returned) // a return whose answer is lost may have been counted
+			}
+		}
+	}
+	m.sessions++
+	m.meters[i] = NewMeter(m.sessions, func() float64 { return 0 })
+}
+
+func (m *machine) startLedger(i int) {
+	if old, other := m.ledgers[i], m.ledgers[1-i]; old != nil {
+		read := int64(0)
+		if p := other.peers[ledgerName(i)]; p != nil && p.epoch == old.epoch {
+			read = p.counters[KeyOf(modelCustomer)].Admitted
+		}
+		// Requests whose return the ledger had counted as well are lost with it; the return may be reported again.
+		other.lost += max(0, old.accounts[KeyOf(modelCustomer)].own.Admitted-read) + m.returned()
+	}
+	m.sessions++
+	m.ledgers[i] = &machineLedger{Ledger: NewLedger(), epoch: unit.Incarnation(m.sessions)}
+	m.ledgers[i].SetLimits(m.now, map[unit.CustomerID]usagelimit.Limit{modelCustomer: m.limit})
+}
+
+func ledgerName(i int) unit.HostName { return unit.HostName(fmt.Sprint("c", i)) }
+
+func (m *machine) take(i int, amount int64) {
+	if d := m.meters[i].Take(m.now, modelCustomer, m.limit, float64(amount)); d.Admitted && !d.OwnShare {
+		m.admitted = append(m.admitted, admittedRequest{meter: m.meters[i], at: m.now, amount: amount})
+	}
+}
+
+// giveBack returns a request that the meter has admitted and that hasn't been returned.
+func (m *machine) giveBack(index int) {
+	m.now = m.now.Add(time.Millisecond)
+	r := &m.admitted[index]
+	for _, meter := range m.meters {
+		if meter == r.meter && !r.returned && r.amount > 0 {
+			r.returned = true
+			meter.GiveBack(m.now, modelCustomer, float64(r.amount))
+			m.admitted = append(m.admitted, admittedRequest{meter: meter, at: m.now, amount: -r.amount})
+			return
+		}
+	}
+}
+
+func (m *machine) sync(meter, ledger int) {
+	sender, sentAt := m.meters[meter], m.now
+	report := sender.Report(m.now)
+	m.messages = append(m.messages, func() {
+		l, name := m.ledgers[ledger], unit.HostName(fmt.Sprint("h", meter))
+		l.Receive(m.now, name, report)
+		levels := l.Levels(m.now, name)
+		m.messages = append(m.messages, func() { sender.Accept(sentAt, report, levels) })
+	})
+}
+
+func (m *machine) exchange(i int) {
+	l, reader := m.ledgers[i], m.ledgers[1-i]
+	after := l.acked
+	if l.ackedBy != reader.epoch {
+		after = 0
+	}
+	l.Step(m.now)
+	update := l.Since(m.now, ledgerName(1-i), after)
+	m.messages = append(m.messages, func() {
+		reader := m.ledgers[1-i]
+		read := reader.Merge(m.now, ledgerName(i), l.epoch, update)
+		if !reader.joined && reader.peers[ledgerName(i)] != nil {
+			reader.joined, reader.joinedAt, reader.joinedLevel = true, m.now, reader.accounts[KeyOf(modelCustomer)].level
+			reader.lost = m.returned()
+		}
+		m.messages = append(m.messages, func() { l.acked, l.ackedBy = read, reader.epoch })
+	})
+}
+
+// returned returns the amount that was returned up to now. What was returned before a ledger joined may reach it later, when it hasn't charged the request.
+func (m *machine) returned() int64 {
+	amount := int64(0)
+	for _, r := range m.admitted {
+		amount -= min(0, r.amount)
+	}
+	return amount
+}
+
+// settle delivers everything that the hosts still have to say.
+func (m *machine) settle() {
+	m.messages = nil
+	for range 3 {
+		m.now = m.now.Add(syncInterval)
+		for i := range m.meters {
+			m.sync(i, i%machineLedgers)
+			m.deliverAll()
+		}
+		for i := range m.ledgers {
+			m.exchange(i)
+			m.deliverAll()
+		}
+	}
+}
+
+func (m *machine) deliverAll() {
+	for len(m.messages) > 0 {
+		next := m.messages[0]
+		m.messages = m.messages[1:]
+		next()
+	}
+}
+
+// undercounted returns by how much a ledger has charged less than what meters admitted since it joined and no restart lost.
+func (m *machine) undercounted(l *machineLedger) int64 {
+	expected := -l.lost
+	for _, r := range m.admitted {
+		if l.joined && (r.at > l.joinedAt) {
+			expected += r.amount
+		}
+	}
+	return expected - int64(math.Round(l.joinedLevel-l.accounts[KeyOf(modelCustomer)].level))
+}
+
+// Guards against use that the account forgets when messages are late, lost, repeated or reordered, or when hosts restart: a customer would get
+// more than its limit. Only what a host hadn't passed on when it restarted may be missing.
+func TestTheAccountForgetsNothing(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	before := checks.Value.String()
+	assert.NilError(t, checks.Value.Set(machineChecks))
+	defer func() { assert.NilError(t, checks.Value.Set(before)) }()
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		m.settle()
+		draw := func(name string, n int) int { return rapid.IntRange(0, n-1).Draw(t, name) }
+		pick := func(keep bool) {
+			if len(m.messages) == 0 {
+				return
+			}
+			i := draw("message", len(m.messages))
+			next := m.messages[i]
+			if !keep {
+				m.messages = append(m.messages[:i:i], m.messages[i+1:]...)
+			}
+			next()
+		}
+		take := func(*rapid.T) {
+			m.now = m.now.Add(time.Duration(1+draw("ms", 40)) * time.Millisecond)
+			m.take(draw("meter", machineMeters), int64(1+draw("amount", 9_200)))
+		}
+		syncAny := func(*rapid.T) { m.sync(draw("meter", machineMeters), draw("ledger", machineLedgers)) }
+		t.Repeat(map[string]func(*rapid.T){
+			"take": take, "take again": take, "sync": syncAny, "sync again": syncAny,
+			"give back": func(*rapid.T) {
+				if len(m.admitted) > 0 {
+					m.giveBack(draw("request", len(m.admitted)))
+				}
+			},
+			"exchange":  func(*rapid.T) { m.exchange(draw("ledger", machineLedgers)) },
+			"deliver":   func(*rapid.T) { pick(false) },
+			"deliver 2": func(*rapid.T) { pick(false) },
+			"repeat":    func(*rapid.T) { pick(true) },
+			"lose": func(*rapid.T) {
+				if len(m.messages) > 0 {
+					m.messages = m.messages[1:]
+				}
+			},
+			"restart meter":  func(*rapid.T) { m.startMeter(draw("meter", machineMeters)) },
+			"restart ledger": func(*rapid.T) { m.startLedger(draw("ledger", machineLedgers)) },
+			"change limit": func(*rapid.T) {
+				m.limit.PerSecond = 1e-6 * float64(1+draw("rate", 5))
+				for _, l := range m.ledgers {
+					l.SetLimits(m.now, map[unit.CustomerID]usagelimit.Limit{modelCustomer: m.limit})
+				}
+			},
+		})
+		m.settle()
+		for i, l := range m.ledgers {
+			assert.Assert(t, l.joined)
+			if missing := m.undercounted(l); missing > 0 {
+				t.Fatalf("ledger %d: %d are missing", i, missing)
+			}
+		}
+	})
+}
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -53,6 +53,7 @@
 type customer struct {
 	offered, admitted           int64 // since the start
 	ackedOffered, ackedAdmitted int64
+	returned                    int64 // negative net amount of the last report, else 0
 	offeredRate, admittedRate   rate
 	usedAt                      unit.Moment
 	level                       *Level // as told last, nil while the bucket is nearly full
@@ -156,11 +157,17 @@
 	}
 }
 
-// Report returns the next report, with all that isn't acknowledged yet.
+// Report returns the next report, with all that isn't acknowledged yet. A net amount that was returned is reported once only: if the answer is lost, the
+// next control host can't know whether another one has counted it, and the customer would get it twice.
 func (m *Meter) Report(now unit.Moment) Report {
+	repeated := m.acked != m.number
 	m.number++
 	r := Report{Session: m.session, Number: m.number, After: m.acked}
 	for key, c := range m.customers {
+		if repeated {
+			c.ackedAdmitted += c.returned
+		}
+		c.returned = min(0, c.admitted-c.ackedAdmitted)
 		switch {
 		case c.offered != c.ackedOffered || c.admitted != c.ackedAdmitted:
 			r.Amounts = append(r.Amounts, Amount{Customer: key, Offered: c.offered - c.ackedOffered, Admitted: c.admitted - c.ackedAdmitted})
@@ -171,10 +178,10 @@
 	return r
 }
 
-// Accept applies a control host's answer to a report that was sent at the given moment. It ignores the answer if another one has been accepted since
-// the report was made: the amounts of the two reports overlap.
+// Accept applies a control host's answer to a report that was sent at the given moment. Answers to other reports than the last one are ignored,
+// because the amounts of reports overlap.
 func (m *Meter) Accept(sentAt unit.Moment, r Report, l Levels) {
-	if r.Number <= m.acked || r.After != m.acked {
+	if r.Number != m.number || r.Number == m.acked {
 		return
 	}
 	m.acked, m.answerAt, m.answered = r.Number, max(m.answerAt, sentAt), true
