Tell entry hosts about all tight buckets, and count only reachable hosts as covered

Cause: review. With more than 48 tight buckets only the lowest ones, compared in different units, were ever sent, and the others counted as full; after a full list, a bucket that got tight was told up to 1.3 s later. A control host that lost all its entry hosts went on being credited with them by the others, so the account and those hosts admitted the same part of the limits. A host whose reports no control host had answered admitted a customer's whole rate. Change: levels are sent within a budget of 800 bytes/s, those that haven't been sent for the longest time first; levels in lost answers are sent again, and a bucket that is full again is said to be. A list of covered hosts may be empty. A meter knows the number of entry hosts from its first sync on. The use by others is extrapolated for at most 2 s.

--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/list"
+	"math"
 	"slices"
 	"time"
 
@@ -20,8 +21,8 @@
 	hostMemory = time.Minute
 	// hostsInterval is the time between two updates that list the entry hosts.
 	hostsInterval = 400 * time.Millisecond
-	// Levels are sent of buckets below tightShare of their capacity, at most maxLevels at once, and so often that a host gets
-	// levelBytesPerSecond. levelBytes is the size of one level.
+	// Levels are sent of buckets below tightShare of their capacity, at most maxLevels at once, and as many as levelBytesPerSecond per host allow. If
+	// there are more, those that haven't been sent for the longest time come first. levelBytes is the size of one level.
 	tightShare          = 0.75
 	maxLevels           = 48
 	levelBytes          = 22
@@ -66,8 +67,11 @@
 	number, after uint64
 	applied       map[Key]Amount // of the reports since after
 	heardAt       unit.Moment
-	levelsAt      unit.Moment // when levels were last sent
-	levelsPause   time.Duration
+	levelsAt      unit.Moment // of the last answer
+	credit        float64     // bytes of levels that may be sent
+	// told is when the level of each bucket was last sent, 0 if it has to be sent again. lastTold are those in the last answer.
+	told     map[Key]unit.Moment
+	lastTold []Key
 }
 
 // peerCounters are the counters of another control host as read last.
@@ -140,7 +144,7 @@
 	s := l.sessions[host]
 	switch {
 	case s == nil || s.id != r.Session:
-		s = &session{id: r.Session, after: r.After, applied: map[Key]Amount{}}
+		s = &session{id: r.Session, after: r.After, applied: map[Key]Amount{}, told: map[Key]unit.Moment{}, credit: maxLevels * levelBytes}
 		l.sessions[host] = s
 	case r.Number <= s.number || r.After < s.after:
 		return // repeated or overtaken
@@ -148,6 +152,12 @@
 		s.after = r.After
 		clear(s.applied)
 	}
+	if r.After < s.number { // the last answer was lost, or this is the first report
+		for _, key := range s.lastTold {
+			s.told[key] = 0
+		}
+	}
+	s.lastTold = s.lastTold[:0]
 	s.number, s.heardAt = r.Number, now
 	for _, amount := range r.Amounts {
 		before := s.applied[amount.Customer]
@@ -189,7 +199,7 @@
 		u.Amounts = append(u.Amounts, a.own)
 	}
 	if now.Sub(l.hostsSentAt[reader]) >= hostsInterval {
-		l.hostsSentAt[reader] = now
+		l.hostsSentAt[reader], u.Listed = now, true
 		for host, s := range l.sessions {
 			if now.Sub(s.heardAt) < hostTimeout {
 				u.Hosts = append(u.Hosts, hostKeyOf(host))
@@ -215,7 +225,7 @@
 		return p.number // overtaken
 	}
 	p.number, p.heardAt = u.Number, now
-	if len(u.Hosts) > 0 {
+	if u.Listed {
 		p.hosts = u.Hosts
 	}
 	for _, host := range u.Hosts {
@@ -272,25 +282,57 @@
 func (l *Ledger) Levels(now unit.Moment, host unit.HostName) Levels {
 	answer := Levels{Hosts: len(l.hosts), Covered: int(l.share*float64(len(l.hosts)) + 0.5)}
 	s := l.sessions[host]
-	if s == nil || now.Sub(s.levelsAt) < s.levelsPause {
+	if s == nil {
 		return answer
 	}
-	answer.Known = true
+	s.credit = min(s.credit+levelBytesPerSecond*now.Sub(s.levelsAt).Seconds(), maxLevels*levelBytes)
+	s.levelsAt = now
 	for key := range l.tight {
 		a, limit := l.accounts[key], l.limits[key]
 		a.fill(now, limit, l.share)
 		if !limit.InForce() || a.level >= tightShare*limit.Capacity() {
 			delete(l.tight, key)
+		}
+	}
+	keys := l.keysToTell(s)
+	answer.Known = len(keys)*levelBytes <= int(s.credit)
+	if answer.Known {
+		clear(s.told)
+	} else {
+		keys = keys[:int(s.credit/levelBytes)]
+	}
+	for _, key := range keys {
+		if _, tight := l.tight[key]; !tight {
+			if !answer.Known {
+				answer.Levels = append(answer.Levels, Level{Customer: key, Level: fullLevel})
+			}
+			delete(s.told, key)
 			continue
 		}
+		a := l.accounts[key]
+		s.told[key] = now
 		answer.Levels = append(answer.Levels, Level{
-			Customer: key, Level: int64(a.level), Offered: uint64(a.offered.perSecond(now)), Admitted: uint64(a.admitted.perSecond(now)),
+			Customer: key, Level: int64(math.Floor(a.level)), Offered: uint64(a.offered.perSecond(now)), Admitted: uint64(a.admitted.perSecond(now)),
 		})
 	}
-	if len(answer.Levels) > maxLevels {
-		slices.SortFunc(answer.Levels, func(a, b Level) int { return cmp.Compare(a.Level, b.Level) })
-		answer.Levels = answer.Levels[:maxLevels]
-	}
-	s.levelsAt, s.levelsPause = now, time.Duration(levelBytes*len(answer.Levels))*time.Second/levelBytesPerSecond
+	s.lastTold = append(s.lastTold, keys...)
+	s.credit -= float64(levelBytes * len(answer.Levels))
 	return answer
 }
+
+// keysToTell returns the tight buckets and those that a host takes for tight, the one whose level was sent the longest ago first.
+func (l *Ledger) keysToTell(s *session) []Key {
+	keys := make([]Key, 0, len(l.tight))
+	for key := range l.tight {
+		keys = append(keys, key)
+	}
+	for key := range s.told {
+		if _, tight := l.tight[key]; !tight {
+			keys = append(keys, key)
+		}
+	}
+	if len(keys)*levelBytes > int(s.credit) {
+		slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(s.told[a], s.told[b]), cmp.Compare(a, b)) })
+	}
+	return keys
+}
--- a/internal/admission/usage/message.go
+++ b/internal/admission/usage/message.go
@@ -5,6 +5,8 @@
 package usage
 
 import (
+	"math"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -52,12 +54,15 @@
 	Admitted uint64
 }
 
+// fullLevel says in Level that a bucket is nearly full again.
+const fullLevel = math.MaxInt64
+
 // Levels is a control host's answer to a report. It includes what the report says.
 type Levels struct {
 	// Covered of Hosts entry hosts are covered by the account of this control host. Its buckets fill at that share of the limits.
 	Hosts   int `cbor:"1,keyasint,omitempty"`
 	Covered int `cbor:"2,keyasint,omitempty"`
-	// Known is set if Levels holds all buckets that aren't nearly full, or the lowest of them. Without it the meter keeps the levels that it has.
+	// Known is set if Levels holds all buckets that aren't nearly full. Without it the meter keeps the other levels that it has.
 	Known  bool    `cbor:"3,keyasint,omitempty"`
 	Levels []Level `cbor:"4,keyasint,omitempty"`
 }
@@ -67,6 +72,7 @@
 	Number  uint64   `cbor:"1,keyasint,omitempty"`
 	After   uint64   `cbor:"4,keyasint,omitempty"` // the number that the reader has read
 	Amounts []Amount `cbor:"2,keyasint,omitempty"` // since the start of the control host
-	// Hosts are the entry hosts that report to the sender. They are left out of most updates.
-	Hosts []hostKey `cbor:"3,keyasint,omitempty"`
+	// Hosts are the entry hosts that report to the sender. They are left out of most updates; Listed is set in those that have them.
+	Hosts  []hostKey `cbor:"3,keyasint,omitempty"`
+	Listed bool      `cbor:"5,keyasint,omitempty"`
 }
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -21,6 +21,8 @@
 	// rate would swing.
 	balanceShare   = 0.1
 	minBalanceTime = 75 * time.Millisecond
+	// maxExtrapolation is how long the others are expected to go on as in the last level. With many tight buckets a level may be some seconds old.
+	maxExtrapolation = 2 * time.Second
 	// idleTime is how long a customer without requests is kept.
 	idleTime = 10 * time.Second
 )
@@ -116,7 +118,8 @@
 		return limit.Capacity() - unreported
 	}
 	others := max(0, float64(c.level.Admitted)-c.admittedRate.perSecond(now))
-	gained := (limit.PerSecond*m.coveredShare() - others) * now.Sub(c.levelAt).Seconds()
+	age := now.Sub(c.levelAt)
+	gained := limit.PerSecond*m.coveredShare()*age.Seconds() - others*min(age, maxExtrapolation).Seconds()
 	return min(float64(c.level.Level)+gained, limit.Capacity()) - unreported
 }
 
@@ -194,11 +197,10 @@
 			c.ackedAdmitted += a.Admitted
 		}
 	}
-	if !l.Known {
-		return
-	}
-	for _, c := range m.customers {
-		c.level = nil
+	if l.Known {
+		for _, c := range m.customers {
+			c.level = nil
+		}
 	}
 	for _, level := range l.Levels {
 		c := m.customers[level.Customer]
@@ -207,5 +209,15 @@
 			m.customers[level.Customer] = c
 		}
 		c.level, c.levelAt = &level, sentAt
+		if level.Level == fullLevel {
+			c.level = nil
+		}
+	}
+}
+
+// ExpectHosts says how many entry hosts there are, as long as no control host has answered a report. Each of them may admit its part of the limits.
+func (m *Meter) ExpectHosts(hosts int) {
+	if !m.answered {
+		m.hosts = hosts
 	}
 }
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -331,6 +331,7 @@
 func (g *Gateway) applyAnswer(name unit.HostName, answer *hub.SyncAnswer, sentAt unit.Moment) {
 	now := g.Timer.Now()
 	g.entryHosts.Store(int64(answer.EntryHosts))
+	g.handler.WithUsage(func(m *usage.Meter) { m.ExpectHosts(answer.EntryHosts) })
 	g.inStepAt.Store(max(g.inStepAt.Load(), int64(sentAt.Add(-answer.Age))))
 	g.applyTable(answer.Table)
 	g.mu.Lock()
