--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -25,7 +25,7 @@
 	// there are more, those that haven't been sent for the longest time come first. levelBytes is the size of one level.
 	tightShare          = 0.75
 	maxLevels           = 48
-	levelBytes          = 22
+	levelBytes          = 23
 	levelBytesPerSecond = 800
 	// maxDebtTime bounds the debt of a bucket: it is paid within that time, plus the time that two bursts take. It only has to cover what
 	// the hosts admit before they hear of an overload.
@@ -72,6 +72,8 @@
 	// told is when the level of each bucket was last sent, 0 if it has to be sent again. lastTold are those in the last answer.
 	told     map[Key]unit.Moment
 	lastTold []Key
+	// The numbers of hosts in the last answers, 0 if they have to be sent again.
+	toldHosts, toldCovered int
 }
 
 // peerCounters are the counters of another control host as read last.
@@ -156,6 +158,7 @@
 		for _, key := range s.lastTold {
 			s.told[key] = 0
 		}
+		s.toldHosts = 0
 	}
 	s.lastTold = s.lastTold[:0]
 	s.number, s.heardAt = r.Number, now
@@ -280,10 +283,13 @@
 
 // Levels returns the answer to an entry host's report.
 func (l *Ledger) Levels(now unit.Moment, host unit.HostName) Levels {
-	answer := Levels{Hosts: len(l.hosts), Covered: int(l.share*float64(len(l.hosts)) + 0.5)}
 	s := l.sessions[host]
 	if s == nil {
-		return answer
+		return Levels{}
+	}
+	var answer Levels
+	if hosts, covered := len(l.hosts), int(l.share*float64(len(l.hosts))+0.5); hosts != s.toldHosts || covered != s.toldCovered {
+		answer.Hosts, answer.Covered, s.toldHosts, s.toldCovered = hosts, covered, hosts, covered
 	}
 	s.credit = min(s.credit+levelBytesPerSecond*now.Sub(s.levelsAt).Seconds(), maxLevels*levelBytes)
 	s.levelsAt = now
--- a/internal/admission/usage/message.go
+++ b/internal/admission/usage/message.go
@@ -59,7 +59,8 @@
 
 // Levels is a control host's answer to a report. It includes what the report says.
 type Levels struct {
-	// Covered of Hosts entry hosts are covered by the account of this control host. Its buckets fill at that share of the limits.
+	// Covered of Hosts entry hosts are covered by the account of this control host. Its buckets fill at that share of the limits. Both are left out
+	// if they haven't changed since the last answer.
 	Hosts   int `cbor:"1,keyasint,omitempty"`
 	Covered int `cbor:"2,keyasint,omitempty"`
 	// Known is set if Levels holds all buckets that aren't nearly full. Without it the meter keeps the other levels that it has.
--- a/internal/admission/usage/simulation_test.go
+++ b/internal/admission/usage/simulation_test.go
@@ -42,6 +42,8 @@
 	refusedBelow      float64 // refused although a bucket that knows all requests at once has room
 	reference         float64 // level of that bucket
 	referenceAdmitted float64
+	// refusesWithoutContact makes hosts without answers refuse instead of admitting their own share.
+	refusesWithoutContact bool
 }
 
 type modelHost struct {
@@ -165,7 +167,7 @@
 			m.reference -= cost
 			m.referenceAdmitted += cost
 		}
-		if h.meter.Take(m.now, modelCustomer, m.limit, cost).Admitted {
+		if d := h.meter.Take(m.now, modelCustomer, m.limit, cost); d.Admitted && (!d.OwnShare || !m.refusesWithoutContact) {
 			admitted += cost
 		} else if fits {
 			m.refusedBelow += cost
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -121,7 +121,7 @@
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
-		running: map[*request]context.CancelCauseFunc{}, usage: usage.NewMeter(rand.Uint64(), rand.Float64),
+		running: map[*request]context.CancelCauseFunc{}, usage: usage.NewMeter(uint64(rand.Uint32()), rand.Float64),
 	}
 }
 
