--- a/internal/routing/tally/urgent_test.go
+++ b/internal/routing/tally/urgent_test.go
@@ -55,3 +55,18 @@
 		}
 	})
 }
+
+// Guards against urgent loads that take more than half of the 28 KB/s of control traffic of a host, in the largest installation with two
+// classes.
+func TestAnUrgentLoadTakesFewBytes(t *testing.T) {
+	const endpoints, perSecond, budget = 600, 4, 28_000 / 2
+	sent := EndpointLoads{}
+	for i := range endpoints {
+		load := assign.Load{Requests: 12, Tokens: 80_000, PendingPrefill: 9_000}
+		load.Urgent[0] = assign.ClassLoad{Requests: 5, Tokens: 4_400, PendingPrefill: 800}
+		sent[registry.Index(i+1)] = load
+	}
+	size := len(sent.PackUrgent())
+	t.Logf("%d bytes for %d endpoints", size, endpoints)
+	assert.Assert(t, size*perSecond <= budget)
+}
