--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -231,7 +231,7 @@
 		return choice, false
 	}
 	considered := make([]candidate, 0, len(candidates))
-	kept, queue := a.keptRoom(now, w, candidates), a.roomQueue(now, w, candidates)
+	question := a.roomQuestion(now, w, candidates)
 	for i, r := range candidates {
 		if !r.acceptsRequests(now) || slices.Contains(tried, r.ID) || !r.mayWrite(w) {
 			continue
@@ -250,7 +250,7 @@
 			continue
 		}
 		choice.Considered++
-		decision := a.decideRoom(r, w, est.loads[i], stall, kept, queue)
+		decision := question.decide(r, w, est.loads[i], stall)
 		c := candidate{replica: r, tier: a.tier(now, r, w, waitForOthers, decision)}
 		c.value = a.value(now, r, w, expected, plan) - homeRankCost*math.Log2(1+float64(est.homes.rank(i)))
 		if c.tier == tierLastResort {
--- a/internal/routing/assign/room.go
+++ b/internal/routing/assign/room.go
@@ -67,9 +67,6 @@
 // new request, those of its class that have returned after a refusal. Arrivals are balanced over the
 // hosts, so that all together get the number of hosts times as many as this one.
 func (a *Assigner) keptRoom(now unit.Moment, w *Request, candidates []*replica) room.Kept {
-	if !w.hasRoomLimits() {
-		return room.Kept{}
-	}
 	kept, perEngine := room.Kept{}, a.hostsPerEngine(now, candidates)
 	var first []arrivalKey
 	for class := range w.Class {
@@ -97,9 +94,6 @@
 // roomQueue returns what goes before the request when there is room again. Callers return to any host, so that this host sees its part of those
 // that were refused and of those that return. Callers that don't return are forgotten with the time constant of the rate.
 func (a *Assigner) roomQueue(now unit.Moment, w *Request, candidates []*replica) room.Queue {
-	if !w.hasRoomLimits() {
-		return room.Queue{}
-	}
 	queue := room.Queue{ClosedFor: max(0, a.closedUntil[w.statKey()].Sub(now))}
 	if expected := a.returning[w.statKey()]; expected != nil {
 		tokens := expected.sum * expected.decayFactor(now) * a.hostsPerEngine(now, candidates)
@@ -119,17 +113,38 @@
 	return float64(a.hosts) / float64(max(engines, 1))
 }
 
-// decideRoom decides whether the request is admitted at the endpoint. It returns nil if the service has one class.
-func (a *Assigner) decideRoom(r *replica, w *Request, l Load, stall time.Duration, kept room.Kept, queue room.Queue) *room.Decision {
-	if !w.hasRoomLimits() || r.engine == nil {
+// roomQuestion is what decisions on one request have in common at all endpoints.
+type roomQuestion struct {
+	request room.Request
+	stats   []serviceStat // by class
+}
+
+// roomQuestion returns nil if package room doesn't decide on the request.
+func (a *Assigner) roomQuestion(now unit.Moment, w *Request, candidates []*replica) *roomQuestion {
+	if !w.hasRoomLimits() {
+		return nil
+	}
+	q := &roomQuestion{request: room.Request{
+		Objectives: w.Objectives[:w.Class+1], Objective: w.Objective, Returned: w.PreviouslyRefused, Waits: make([]time.Duration, w.Class+1),
+		Kept: a.keptRoom(now, w, candidates), Queue: a.roomQueue(now, w, candidates),
+	}}
+	for class := range w.Class + 1 {
+		q.stats = append(q.stats, a.serviceStat(serviceClass{w.Service, class}))
+	}
+	return q
+}
+
+// decide decides whether the request is admitted at the endpoint. It returns nil if package room isn't asked.
+func (q *roomQuestion) decide(r *replica, w *Request, l Load, stall time.Duration) *room.Decision {
+	if q == nil || r.engine == nil {
 		return nil
 	}
-	request := room.Request{Objectives: w.Objectives[:w.Class+1], Objective: w.Objective, Returned: w.PreviouslyRefused, Queue: queue, Kept: kept, Waits: make([]time.Duration, w.Class+1)}
+	request := q.request
 	urgent := unit.Tokens(0) // memory of more urgent requests
 	for class := range w.Class + 1 {
-		load, stat, own := l.upTo(w, class), a.serviceStat(serviceClass{w.Service, class}), unit.Tokens(0)
+		load, stat, own := l.upTo(w, class), q.stats[class], unit.Tokens(0)
 		if class == w.Class {
-			load.Tokens += max(0, kept.Memory-urgent)
+			load.Tokens += max(0, request.Kept.Memory-urgent)
 			own = w.memoryTokens()
 		}
 		memory := r.waitForMemory(own, stat, load)
