Limit memory of any kind of buffer with one package

Cause: bodies of requests and messages between hosts need the budget that answers have.

Change: internal/callers/answermemory becomes internal/base/buffermemory. No change for answers otherwise.

--- a/internal/callers/forward/endless_test.go
+++ b/internal/callers/forward/endless_test.go
@@ -14,9 +14,10 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
+	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
-	"github.com/citronglade/citronglade/internal/callers/answermemory"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
@@ -177,7 +178,7 @@
 	sound := newFakeEndpoint(t, func() string { return success })
 	h := newTestHandler(t)
 	h.Connections = func(*table.Service) int { return callers }
-	h.memory = answermemory.New(memory)
+	h.memory = buffermemory.New(memory, fault.BrokenAnswer)
 	use := func(id unit.EndpointID, address string) {
 		known := []registry.Endpoint{{Report: registry.Report{ID: id, Service: "s", Address: address, Slots: callers, Born: 1}}}
 		h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { a.SetEndpoints(known, h.Table().Service, nil, nil) })
--- a/internal/callers/forward/events.go
+++ b/internal/callers/forward/events.go
@@ -7,8 +7,8 @@
 	"io"
 	"slices"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/fault"
-	"github.com/citronglade/citronglade/internal/callers/answermemory"
 )
 
 // maxEventBytes is the largest size of one event.
@@ -18,10 +18,10 @@
 type rawEventReader struct {
 	from   *bufio.Reader
 	event  []byte
-	memory *answermemory.Share // for the buffer
+	memory *buffermemory.Share // for the buffer
 }
 
-func newRawEventReader(from io.Reader, memory *answermemory.Share) *rawEventReader {
+func newRawEventReader(from io.Reader, memory *buffermemory.Share) *rawEventReader {
 	return &rawEventReader{from: bufio.NewReaderSize(from, 2<<10), memory: memory}
 }
 
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -11,10 +11,10 @@
 	"time"
 
 	"github.com/citronglade/citronglade/internal/admission/usage"
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
-	"github.com/citronglade/citronglade/internal/callers/answermemory"
 	"github.com/citronglade/citronglade/internal/callers/exchange"
 	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/callers/relay"
@@ -98,7 +98,7 @@
 	cutOff         map[table.ServiceName]bool        // as logged last
 	running        map[*request]context.CancelCauseFunc
 	closed         bool // no further requests are served
-	memory         *answermemory.Budget
+	memory         *buffermemory.Budget
 
 	usageMu sync.Mutex
 	usage   *usage.Meter
@@ -117,7 +117,7 @@
 	}
 	return &Handler{
 		Dependencies: d, assigner: assign.New(d.Assign), ledger: retrybudget.New(d.Allowance),
-		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(), memory: answermemory.New(d.MaxAnswerMemory),
+		crashes: crash.New(), quarantines: quarantine.New(), crashCauses: crashcause.New(rand.Float64()), permits: newPermitWait(), memory: buffermemory.New(d.MaxAnswerMemory, fault.BrokenAnswer),
 		streams: streamorigin.New(), storedStreams: storedStreams{changed: make(chan struct{})},
 		cancellable: map[*assign.Attempt]cancellableAttempt{}, longestTimeout: map[string]time.Duration{},
 		relayRefusedAt: map[table.ServiceName]unit.Moment{}, cutOff: map[table.ServiceName]bool{},
@@ -235,7 +235,7 @@
 	lastEventID     string
 	usageCost       float64               // what was counted for the request with its customer's limit, 0 if nothing
 	usageRefusal    *usageRefusal         // nil unless the request was refused by the limit
-	memory          []*answermemory.Share // for answers of this request
+	memory          []*buffermemory.Share // for answers of this request
 	atLimit         bool                  // the last choice found that all endpoints are at the limits that they named, or brittle and full
 	permitDeadline  unit.Moment           // end of the wait for a permit, 0 before it
 	answered        bool                  // the head of an answer was written, or the request was declined
--- a/internal/callers/forward/memory.go
+++ b/internal/callers/forward/memory.go
@@ -7,8 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/fault"
-	"github.com/citronglade/citronglade/internal/callers/answermemory"
 )
 
 const (
@@ -19,14 +19,14 @@
 )
 
 // openMemory returns the memory for an answer of the given source. It is returned when the request ends, at the latest.
-func (r *request) openMemory(source string) *answermemory.Share {
+func (r *request) openMemory(source string) *buffermemory.Share {
 	share := r.h.memory.Open(source)
 	r.memory = append(r.memory, share)
 	return share
 }
 
 // readWhole reads the body of an answer to its end. It fails with fault.BrokenAnswer.
-func readWhole(answer io.Reader, memory *answermemory.Share) ([]byte, error) {
+func readWhole(answer io.Reader, memory *buffermemory.Share) ([]byte, error) {
 	data := []byte{}
 	fail := func(err error) ([]byte, error) {
 		memory.Close()
