Limit the memory and the time of requests' bodies

Cause: a body was read whole, without a limit on all bodies together and without a time limit.

Change: internal/callers/bodymemory counts the bodies of all listeners of a process. A body takes memory in steps as it arrives. When there is none left, the body that has made no progress for the longest time is given up with fault.Overloaded (503); a body with less than 1 KiB in the idle timeout with fault.BodyTimeout (408). Not used yet.

--- a/internal/base/fault/fault.go
+++ b/internal/base/fault/fault.go
@@ -27,6 +27,8 @@
 	BadSetting = namespace.NewType("bad-setting", NotRun)
 	// TooLarge is input over its size limit.
 	TooLarge = namespace.NewType("too-large", NotRun)
+	// BodyTimeout is a request whose body didn't arrive in time.
+	BodyTimeout = namespace.NewType("body-timeout", NotRun, Retryable)
 	// Unauthenticated is a missing or unknown credential.
 	Unauthenticated = namespace.NewType("unauthenticated", NotRun)
 	// Forbidden is an authenticated caller that isn't allowed to do what it asks for.
@@ -86,7 +88,7 @@
 
 func init() {
 	for _, registered := range []*errorx.Type{
-		BadInput, BadSetting, TooLarge, Unauthenticated, Forbidden, NotFound, Conflict, OverLimit, Overloaded, Quarantined,
+		BadInput, BadSetting, TooLarge, BodyTimeout, Unauthenticated, Forbidden, NotFound, Conflict, OverLimit, Overloaded, Quarantined,
 		Unresumable, NoEndpoint, StaleConfiguration, Stopping, NotLeader, NoQuorum, Unreachable, BrokenAnswer, UnknownOutcome, Corrupt, DiskFailed, DiskFull,
 		BadPeer, Internal, ClaimFailed, AnswerLost, CallerLeft,
 	} {
--- a/internal/callers/api/failure.go
+++ b/internal/callers/api/failure.go
@@ -22,6 +22,7 @@
 var failureMappings = []failureMapping{
 	{fault.BadInput, http.StatusBadRequest, "invalid_request_error"},
 	{fault.TooLarge, http.StatusRequestEntityTooLarge, "invalid_request_error"},
+	{fault.BodyTimeout, http.StatusRequestTimeout, "invalid_request_error"},
 	{fault.Unauthenticated, http.StatusUnauthorized, "authentication_error"},
 	{fault.Forbidden, http.StatusForbidden, "permission_error"},
 	{fault.NotFound, http.StatusNotFound, "not_found_error"},
--- /dev/null
+++ b/internal/callers/bodymemory/body.go
@@ -0,0 +1,181 @@
+package bodymemory
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
+	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/unit"
+)
+
+// firstBytes is the size of the first piece of memory for a body. Most bodies are smaller.
+const firstBytes = 16 << 10
+
+// body is the body of one request.
+type body struct {
+	io.ReadCloser
+	budget   *Budget
+	w        http.ResponseWriter
+	length   int64        // as the request states it, -1 if it doesn't
+	received atomic.Int64 // bytes
+
+	// The budget's lock protects the following fields.
+	share      *buffermemory.Share
+	progressAt unit.Moment // when at least minProgress bytes had arrived since the last time
+	progress   int64       // bytes that had arrived by then
+	givenUp    error       // nil unless the body was given up
+	arrived    bool        // completely
+}
+
+func (b *Budget) open(w http.ResponseWriter, r *http.Request) *body {
+	read := &body{ReadCloser: r.Body, budget: b, w: w, length: r.ContentLength, share: b.memory.Open(""), progressAt: b.options.Now()}
+	b.mu.Lock()
+	b.reading[read] = struct{}{}
+	b.mu.Unlock()
+	return read
+}
+
+// Read implements io.Reader. It returns the reason if the body was given up.
+func (d *body) Read(p []byte) (int, error) {
+	n, err := d.ReadCloser.Read(p)
+	d.received.Add(int64(n))
+	if err == nil {
+		return n, nil
+	}
+	d.budget.mu.Lock()
+	defer d.budget.mu.Unlock()
+	if d.givenUp != nil {
+		return n, d.givenUp
+	}
+	d.arrived = errors.Is(err, io.EOF)
+	delete(d.budget.reading, d)
+	return n, err
+}
+
+// end returns the memory. The rest of a body that wasn't read must arrive soon.
+func (d *body) end() {
+	d.budget.mu.Lock()
+	defer d.budget.mu.Unlock()
+	delete(d.budget.reading, d)
+	d.share.Close()
+	if !d.arrived && d.givenUp == nil {
+		d.setReadDeadline(time.Now().Add(drainTimeout))
+	}
+}
+
+// grow takes memory for more bytes. It fails with fault.Overloaded or with the reason for which the body was given up.
+func (d *body) grow(bytes int64) error {
+	b := d.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	least := int64(1)
+	if d.share.Bytes()+bytes > buffermemory.SmallBytes {
+		least = buffermemory.SmallBytes + 1 // small bodies aren't given up for a large one
+	}
+	for {
+		if d.givenUp != nil {
+			return d.givenUp
+		}
+		err := d.share.Grow(bytes)
+		if err == nil {
+			return nil
+		}
+		if !b.giveUpSlowest(least) {
+			return full(err)
+		}
+	}
+}
+
+// updateProgress records whether the body has made progress. The budget's lock must be held.
+func (d *body) updateProgress(now unit.Moment) {
+	if received := d.received.Load(); received-d.progress >= minProgress {
+		d.progressAt, d.progress = now, received
+	}
+}
+
+// before reports whether the body must be given up before another one.
+func (d *body) before(other *body) bool {
+	large, otherLarge := d.share.Bytes() > buffermemory.SmallBytes, other.share.Bytes() > buffermemory.SmallBytes
+	switch {
+	case large != otherLarge:
+		return large
+	case d.progressAt != other.progressAt:
+		return d.progressAt < other.progressAt
+	default:
+		return d.share.Bytes() > other.share.Bytes()
+	}
+}
+
+// giveUp ends the reading of the body. Its memory counts as free at once: the goroutine that reads it drops the buffer as soon as it runs.
+// The budget's lock must be held.
+func (d *body) giveUp(reason error) {
+	d.givenUp = reason
+	delete(d.budget.reading, d)
+	d.share.Close()
+	d.setReadDeadline(time.Unix(1, 0))
+}
+
+// setReadDeadline sets the deadline for reading from the connection. The server removes it at the end of the body. The handler must not
+// have returned.
+func (d *body) setReadDeadline(at time.Time) {
+	// Fails only for connections without deadlines, which tests use.
+	_ = http.NewResponseController(d.w).SetReadDeadline(at)
+}
+
+// ReadAll reads the whole body of a request, at most limit bytes. It takes memory as the body arrives if the request came through
+// Budget.Handler. It fails with fault.TooLarge, fault.Overloaded, fault.BodyTimeout, fault.CallerLeft or fault.BadInput.
+func ReadAll(r *http.Request, limit int64) ([]byte, error) {
+	counted, _ := r.Body.(*body)
+	if r.Body == nil || r.ContentLength == 0 {
+		return []byte{}, nil
+	}
+	if r.ContentLength > limit {
+		return nil, fault.TooLarge.New("the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
+	}
+	most := limit + 1
+	if r.ContentLength > 0 {
+		most = r.ContentLength + 1 // the last byte stays free, so that the end is found without another piece
+	}
+	data := []byte{}
+	for {
+		if len(data) == cap(data) {
+			size := min(max(firstBytes, 2*int64(cap(data))), most)
+			if counted != nil {
+				if err := counted.grow(size - int64(cap(data))); err != nil {
+					return nil, err
+				}
+			}
+			data = slices.Grow(data, int(size)-len(data))
+			data = data[:len(data):size]
+		}
+		n, err := r.Body.Read(data[len(data):cap(data)])
+		data = data[:len(data)+n]
+		switch {
+		case int64(len(data)) > limit:
+			return nil, fault.TooLarge.New("the body has more than %d bytes", limit)
+		case errors.Is(err, io.EOF):
+			return data, nil
+		case err != nil:
+			return nil, readFailure(r, err)
+		}
+	}
+}
+
+// readFailure returns the error for a body that could not be read.
+func readFailure(r *http.Request, err error) error {
+	switch {
+	case errorx.Cast(err) != nil:
+		return err // the reason for which the body was given up
+	case r.Context().Err() != nil || errors.Is(err, io.ErrUnexpectedEOF):
+		return fault.CallerLeft.Wrap(err, "the caller left before the end of its body")
+	default:
+		return fault.BadInput.Wrap(err, "cannot read the body")
+	}
+}
--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -144,6 +144,8 @@
 		status = http.StatusBadRequest
 	case errorx.IsOfType(err, fault.TooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errorx.IsOfType(err, fault.BodyTimeout):
+		status = http.StatusRequestTimeout
 	case errorx.IsOfType(err, fault.CallerLeft):
 		r.log("caller-left", err)
 		return
