Limit clients' connections by descriptors and memory

Cause: nothing bounded connections; 300 idle ones opened 314 descriptors where 256 of 456 may be used.

Not used yet.

--- /dev/null
+++ b/internal/network/connections/limit.go
@@ -0,0 +1,137 @@
+// Package connections limits the connections that clients open to a host, over all of its listeners. When there are too many, those that wait
+// for a request are closed first.
+package connections
+
+import (
+	"container/list"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	// ReservedDescriptors are left for the listeners, the files and the connections between hosts.
+	ReservedDescriptors = 200
+	// Of the other descriptors, clients may use clientShare in clientShareOf; the rest is left for connections to endpoints.
+	clientShare, clientShareOf = 3, 4
+	// minConnections is the limit on machines with very few descriptors.
+	minConnections = 16
+	// memoryShare is the part of the memory that connections may take: one third. connectionBytes is what one takes beside the header that
+	// its client sends: both buffers and the stack.
+	memoryShare     = 3
+	connectionBytes = 16 << 10
+)
+
+var (
+	closedIdle    = metrics.NewCounter(`citronglade_connections_closed_total{state="waiting"}`)
+	closedAtOnce  = metrics.NewCounter(`citronglade_connections_closed_total{state="new"}`)
+	closedForBody = metrics.NewCounter(`citronglade_connections_closed_total{state="body"}`)
+)
+
+// Most returns the limit for a process with the given number of descriptors and bytes of memory, whose clients send headers of at most the
+// given size. 0 descriptors or bytes are no bound.
+func Most(descriptors int, memoryBytes, headerBytes int64) int {
+	most := descriptors
+	if descriptors > 0 {
+		most = (descriptors - ReservedDescriptors) * clientShare / clientShareOf
+	}
+	if fits := int(memoryBytes / memoryShare / (headerBytes + connectionBytes)); fits > 0 && (most <= 0 || fits < most) {
+		most = fits
+	}
+	if descriptors <= 0 && memoryBytes <= 0 {
+		return 0
+	}
+	return max(most, minConnections)
+}
+
+// Limit counts the connections of all listeners of a host and closes those beyond the limit. It is safe for concurrent use.
+type Limit struct {
+	most    int
+	reclaim func() bool
+
+	mu      sync.Mutex
+	open    map[net.Conn]*list.Element // nil while a request is served
+	waiting list.List                  // connections without a complete header, the one that has waited longest first
+	report  Report
+}
+
+// Report says how many connections were closed because of the limit.
+type Report struct {
+	Closed int
+	Open   int // at the time of the report
+}
+
+// New returns a limit of the given number of connections, 0 for none. When no connection waits for a request, reclaim is called; it gives up
+// a request whose body makes no progress, and returns false if there is none.
+func New(most int, reclaim func() bool) *Limit {
+	return &Limit{most: most, reclaim: reclaim, open: map[net.Conn]*list.Element{}}
+}
+
+// Track is called for each change of a connection's state; see http.Server.ConnState.
+func (l *Limit) Track(c net.Conn, state http.ConnState) {
+	if l.most <= 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	element, known := l.open[c]
+	switch {
+	case !known && state != http.StateNew:
+		return // closed by this package
+	case element != nil:
+		l.waiting.Remove(element)
+	}
+	switch state {
+	case http.StateNew:
+		l.makeRoom(c)
+	case http.StateActive:
+		l.open[c] = nil
+	case http.StateIdle:
+		l.open[c] = l.waiting.PushBack(c)
+	case http.StateClosed, http.StateHijacked:
+		delete(l.open, c)
+	}
+}
+
+// makeRoom adds a new connection, and closes one if there are too many: the one that has waited longest for a request, or else the new one
+// unless a request is given up for it.
+func (l *Limit) makeRoom(c net.Conn) {
+	if len(l.open) >= l.most {
+		l.report.Closed++
+		oldest := l.waiting.Front()
+		switch {
+		case oldest != nil:
+			closedIdle.Inc()
+			l.waiting.Remove(oldest)
+			l.close(oldest.Value.(net.Conn)) //nolint:forcetypeassert // the list holds connections only
+		case l.reclaim():
+			closedForBody.Inc()
+		default:
+			closedAtOnce.Inc()
+			l.close(c)
+			return
+		}
+	}
+	l.open[c] = l.waiting.PushBack(c)
+}
+
+// close closes a connection without waiting for its client.
+func (l *Limit) close(c net.Conn) {
+	delete(l.open, c)
+	if wrapped, ok := c.(interface{ NetConn() net.Conn }); ok {
+		c = wrapped.NetConn() // the end of a TLS connection would be written first
+	}
+	_ = c.Close() // it isn't used any more
+}
+
+// Report returns what was closed since the last call.
+func (l *Limit) Report() Report {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := l.report
+	report.Open = len(l.open)
+	l.report = Report{}
+	return report
+}
