Take memory for messages between hosts as they arrive

Change: the body of a frame takes memory in steps, and all messages that are received or handled together are limited by Options.MessageMemory, at least two of the largest. A message that finds no memory is cut off; its connection stays open.

Result: go test ./internal/network/... passes; with the old allocation TestAFrameTakesMemoryAsItArrives can't be written, as the memory isn't counted.

--- a/internal/network/link/frame.go
+++ b/internal/network/link/frame.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/fault"
 )
@@ -15,6 +16,8 @@
 	MaxFrameBytes = 16 << 20
 
 	headerBytes = 5 // version (1 byte) and body length (4 bytes, big-endian)
+	// firstBodyBytes is the size of the first piece of memory for a frame's body. Most messages are smaller.
+	firstBodyBytes = 16 << 10
 )
 
 // envelope is the body of a frame. Requests and one-way messages have a kind and a payload, answers have a payload or an
@@ -48,8 +51,8 @@
 
 // readFrame reads one frame and returns its size. Another version fails with fault.BadPeer and an oversize body with
 // fault.TooLarge, both before the body is read. A body that can't be decoded fails with fault.BadPeer, a truncated frame
-// with fault.BrokenAnswer.
-func readFrame(r io.Reader) (envelope, int, error) {
+// with fault.BrokenAnswer, and a body for which memory has no room with fault.Overloaded.
+func readFrame(r io.Reader, memory *buffermemory.Share) (envelope, int, error) {
 	var e envelope
 	header := make([]byte, headerBytes)
 	if _, err := io.ReadFull(r, header); err != nil {
@@ -62,9 +65,9 @@
 	if length > MaxFrameBytes {
 		return e, 0, fault.TooLarge.New("frame announces %d bytes, at most %d are allowed", length, MaxFrameBytes)
 	}
-	body := make([]byte, length)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return e, 0, fault.BrokenAnswer.Wrap(err, "the stream ended inside a frame")
+	body, err := readBody(r, int(length), memory)
+	if err != nil {
+		return e, 0, err
 	}
 	if err := codec.Unmarshal(body, &e); err != nil {
 		return e, 0, err
@@ -72,6 +75,23 @@
 	return e, headerBytes + int(length), nil
 }
 
+// readBody reads the body of a frame. It takes memory in steps, so that a frame of which only a part arrives holds at most twice that part.
+func readBody(r io.Reader, length int, memory *buffermemory.Share) ([]byte, error) {
+	var body []byte
+	for len(body) < length {
+		step := min(max(firstBodyBytes, len(body)), length-len(body))
+		if err := memory.Grow(int64(step)); err != nil {
+			return nil, err
+		}
+		read := len(body)
+		body = append(make([]byte, 0, read+step), body...)[:read+step]
+		if _, err := io.ReadFull(r, body[read:]); err != nil {
+			return nil, fault.BrokenAnswer.Wrap(err, "the stream ended inside a frame")
+		}
+	}
+	return body, nil
+}
+
 // encodeError returns the answer for a failed call.
 func encodeError(err error) envelope {
 	e := envelope{ErrorType: fault.Name(err), ErrorText: err.Error()}
--- a/internal/network/link/link.go
+++ b/internal/network/link/link.go
@@ -11,10 +11,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/joomcode/errorx"
 	"github.com/quic-go/quic-go"
 	"k8s.io/klog/v2"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/network/identity"
@@ -37,8 +39,12 @@
 	sendQueueLength = 1024
 	// sendWorkers is the number of goroutines that send the one-way messages to a peer.
 	sendWorkers = 4
+	// minMessageMemory is the least memory for messages that are being received and handled: that of two of the largest.
+	minMessageMemory = 2 * MaxFrameBytes
 )
 
+var messagesRefused = metrics.NewCounter("citronglade_link_messages_refused_total")
+
 // Handler handles one incoming call or one-way message from the host named from. The answer to a one-way message is ignored.
 type Handler func(ctx context.Context, from unit.HostName, kind string, payload []byte) ([]byte, error)
 
@@ -64,8 +70,11 @@
 	Resolve func(name unit.HostName) (address string, ok bool)
 	// IdleTimeout is the time after which connections without traffic are closed, 5 s by default.
 	IdleTimeout time.Duration
-	Identity    *identity.Identity
-	Handler     Handler
+	// MessageMemory is the memory in bytes for all messages that are being received and handled, at least 32 MiB. Those that find none
+	// aren't handled.
+	MessageMemory int64
+	Identity      *identity.Identity
+	Handler       Handler
 	// Streams are the handlers of the kinds of calls that are answered with a stream.
 	Streams map[string]StreamHandler
 }
@@ -80,6 +89,8 @@
 	peers      map[unit.HostName]*peer
 	runContext context.Context // the context of Run; nil until Run is called
 
+	memory *buffermemory.Budget // for messages
+
 	bytesSent     atomic.Uint64
 	bytesReceived atomic.Uint64
 }
@@ -124,7 +135,10 @@
 	if err != nil {
 		return nil, fault.Internal.Wrap(err, "cannot listen on %s", options.Listen)
 	}
-	link := &Link{options: options, transport: transport, listener: listener, peers: map[unit.HostName]*peer{}}
+	link := &Link{
+		options: options, transport: transport, listener: listener, peers: map[unit.HostName]*peer{},
+		memory: buffermemory.New(max(options.MessageMemory, minMessageMemory), fault.Overloaded),
+	}
 	for name, address := range options.Peers {
 		link.peers[name] = newPeer(name, address)
 	}
@@ -273,8 +287,15 @@
 	if err := stream.Close(); err != nil {
 		return nil, fault.BrokenAnswer.Wrap(err, "cannot send %q to %s", request.Kind, to)
 	}
-	answer, read, err := readFrame(stream)
+	memory := l.memory.Open("")
+	defer memory.Close()
+	answer, read, err := readFrame(stream, memory)
 	l.bytesReceived.Add(uint64(read))
+	if errorx.IsOfType(err, fault.Overloaded) {
+		messagesRefused.Inc()
+		stream.CancelRead(abortedStream)
+		return nil, fault.BrokenAnswer.Wrap(err, "cannot read the answer of %s", to)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -372,8 +393,11 @@
 			return
 		}
 		go func() {
-			message, ok := l.receive(connection, from, stream)
+			memory := l.memory.Open("")
+			defer memory.Close()
+			message, ok := l.receive(connection, from, stream, memory)
 			if !ok {
+				stream.CancelRead(abortedStream)
 				return
 			}
 			if _, err := l.handle(connection.Context(), from, message); err != nil {
@@ -384,8 +408,11 @@
 }
 
 func (l *Link) serveCall(connection *quic.Conn, from unit.HostName, stream *quic.Stream) {
-	request, ok := l.receive(connection, from, stream)
+	memory := l.memory.Open("")
+	defer memory.Close()
+	request, ok := l.receive(connection, from, stream, memory)
 	if !ok {
+		stream.CancelRead(abortedStream)
 		// A stream whose sending side stays open would count against the peer's stream limit until the connection ends.
 		stream.CancelWrite(0)
 		return
@@ -408,9 +435,9 @@
 }
 
 // receive reads one message. The connection of a peer that sends an invalid frame is closed, because its other frames can't
-// be trusted either.
-func (l *Link) receive(connection *quic.Conn, from unit.HostName, r io.Reader) (envelope, bool) {
-	message, read, err := readFrame(r)
+// be trusted either. A message that finds no memory isn't handled.
+func (l *Link) receive(connection *quic.Conn, from unit.HostName, r io.Reader, memory *buffermemory.Share) (envelope, bool) {
+	message, read, err := readFrame(r, memory)
 	l.bytesReceived.Add(uint64(read))
 	if err == nil {
 		return message, true
@@ -418,6 +445,11 @@
 	if isAborted(err) || connection.Context().Err() != nil {
 		return message, false
 	}
+	if errorx.IsOfType(err, fault.Overloaded) {
+		messagesRefused.Inc()
+		klog.Warningf("link: no memory for a message of %s: %v", from, err)
+		return message, false
+	}
 	klog.Warningf("link: closed the connection of %s after an invalid frame: %v", from, err)
 	_ = connection.CloseWithError(2, fault.Name(err))
 	return message, false
--- a/internal/network/link/link_test.go
+++ b/internal/network/link/link_test.go
@@ -15,6 +15,7 @@
 	"github.com/quic-go/quic-go"
 	"gotest.tools/v3/assert"
 
+	"github.com/citronglade/citronglade/internal/base/buffermemory"
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/network/identity"
@@ -154,7 +155,7 @@
 	_, err = writeFrame(stream, envelope{Kind: "claim", Payload: []byte("x")})
 	assert.NilError(t, err)
 	assert.NilError(t, stream.Close())
-	_, _, err = readFrame(stream)
+	_, _, err = readFrame(stream, newMemory())
 	assert.NilError(t, err)
 }
 
@@ -200,7 +201,7 @@
 	f.Add([]byte{2, 0, 0, 0, 1, 0})
 	f.Add([]byte{1, 0xff, 0xff, 0xff, 0xff})
 	f.Fuzz(func(t *testing.T, data []byte) {
-		e, read, err := readFrame(bytes.NewReader(data))
+		e, read, err := readFrame(bytes.NewReader(data), newMemory())
 		if err != nil {
 			assert.Assert(t, errorx.IsOfType(err, fault.BadPeer) || errorx.IsOfType(err, fault.TooLarge) ||
 				errorx.IsOfType(err, fault.BrokenAnswer), "%v", err)
@@ -211,6 +212,35 @@
 	})
 }
 
+// newMemory returns the memory of one message.
+func newMemory() *buffermemory.Share {
+	return buffermemory.New(minMessageMemory, fault.Overloaded).Open("")
+}
+
+// Guards against a frame that takes all the memory that it announces before it arrives, and against messages that together take more
+// than they may.
+func TestAFrameTakesMemoryAsItArrives(t *testing.T) {
+	frame := func(arrives int) io.Reader {
+		return bytes.NewReader(append([]byte{frameVersion, 1, 0, 0, 0}, make([]byte, arrives)...)) // announces 16 MiB
+	}
+	budget := buffermemory.New(minMessageMemory, fault.Overloaded)
+	cases := []struct {
+		arrives int
+		most    int64
+	}{{0, firstBodyBytes}, {100, firstBodyBytes}, {1 << 20, 2 << 20}, {MaxFrameBytes, MaxFrameBytes}}
+	for _, c := range cases {
+		memory := budget.Open("")
+		_, _, err := readFrame(frame(c.arrives), memory)
+		assert.Assert(t, err != nil)
+		assert.Assert(t, memory.Bytes() <= c.most, "%d of %d", memory.Bytes(), c.most)
+		memory.Close()
+	}
+	held := budget.Open("")
+	assert.NilError(t, held.Grow(MaxFrameBytes))
+	_, _, err := readFrame(frame(MaxFrameBytes), budget.Open(""))
+	assert.Assert(t, errorx.IsOfType(err, fault.Overloaded), "%v", err)
+}
+
 func copyAuthority(t *testing.T, from, to string) {
 	t.Helper()
 	for _, name := range []string{keys.AuthorityFile, keys.AuthorityKeyFile} {
