Bound what clients take of a host, over all listeners

Cause: 40 bodies of 4,000,000 bytes that stopped short took 258 MB on `citronglade host` and 248 MB on `citronglade platform`, whose machines have 112 MB; 300 idle connections opened 314 to 325 descriptors where 256 may be used.

Change: both processes serve all their listeners through one bodymemory.Budget (a quarter of the memory) and one connections.Limit. Bodies of callers, the control listener and `citronglade host` are read with bodymemory.ReadAll. Headers may have 24 KiB on the platform (68 before; tables allow 16) and 64 KiB on `citronglade host` (256 before). Answers of listeners that callers don't use have a time limit. Bodies given up and connections closed are logged at most once a second and counted. A body that stops gets 408, one that finds no memory 503; neither request has run.

--- a/internal/callers/api/server.go
+++ b/internal/callers/api/server.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"path"
@@ -15,6 +14,7 @@
 
 	"github.com/citronglade/citronglade/internal/base/fault"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/bodymemory"
 	"github.com/citronglade/citronglade/internal/callers/request"
 	"github.com/citronglade/citronglade/internal/control/follower"
 	"github.com/citronglade/citronglade/internal/planning/sheet"
@@ -142,7 +142,7 @@
 
 func (s *Server) serveModel(c echo.Context) error {
 	call := callOf(c)
-	body, err := readBody(c)
+	body, err := bodymemory.ReadAll(c.Request(), maxBodyBytes)
 	if err != nil {
 		return err
 	}
@@ -159,7 +159,7 @@
 // serveService forwards /service/NAME/REST as /REST to a replica of the service.
 func (s *Server) serveService(c echo.Context) error {
 	call := callOf(c)
-	body, err := readBody(c)
+	body, err := bodymemory.ReadAll(c.Request(), maxBodyBytes)
 	if err != nil {
 		return err
 	}
@@ -197,18 +197,6 @@
 	return s.Serve(c.Request().Context(), call, c.Response())
 }
 
-func readBody(c echo.Context) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.TooLarge.New("the body has more than %d bytes", maxBodyBytes)
-	}
-	if err != nil {
-		return nil, fault.BadInput.Wrap(err, "the body broke off")
-	}
-	return body, nil
-}
-
 // writeError answers with the status and body for err. If the answer has begun, it only aborts the connection of a caller that has left,
 // because the answer would otherwise be completed; any other stream that has begun ends with an error event, which package request sends.
 func (s *Server) writeError(err error, c echo.Context) {
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -348,17 +348,29 @@
 	assert.Equal(t, h.Running(), 0)
 }
 
-// Guards against a request that is sent to an endpoint although its body couldn't be read completely.
-func TestABodyThatIsTooLargeIsRefused(t *testing.T) {
-	endpoint := newFakeEndpoint(t, func() string { return success })
-	h := newTestHandler(t, endpoint)
-	recorder := httptest.NewRecorder()
-	h.Serve(context.Background(), recorder, &Call{
-		ID: "r1", Arrived: h.Now(), Method: http.MethodPost, Host: "h", Path: "/once/x", Target: "/once/x", Header: http.Header{},
-		Body: func(most int64) ([]byte, error) { return nil, fault.TooLarge.New("over %d bytes", most) },
-	})
-	assert.Equal(t, recorder.Code, http.StatusRequestEntityTooLarge)
-	assert.Equal(t, endpoint.count(), 0)
+// Guards against a request that is sent to an endpoint although its body couldn't be read completely, and against a refusal that doesn't say
+// that the request hasn't run.
+func TestABodyThatIsNotReadIsRefused(t *testing.T) {
+	cases := []struct {
+		err    error
+		status int
+	}{
+		{fault.TooLarge.New("too many bytes"), http.StatusRequestEntityTooLarge},
+		{fault.BodyTimeout.New("the body stopped"), http.StatusRequestTimeout},
+		{fault.Overloaded.New("no memory for the body"), http.StatusServiceUnavailable},
+		{fault.BadInput.New("not a body"), http.StatusBadRequest},
+	}
+	for _, c := range cases {
+		endpoint := newFakeEndpoint(t, func() string { return success })
+		h := newTestHandler(t, endpoint)
+		recorder := httptest.NewRecorder()
+		h.Serve(context.Background(), recorder, &Call{
+			ID: "r1", Arrived: h.Now(), Method: http.MethodPost, Host: "h", Path: "/once/x", Target: "/once/x", Header: http.Header{},
+			Body: func(int64) ([]byte, error) { return nil, c.err },
+		})
+		assert.Equal(t, recorder.Code, c.status)
+		assert.Equal(t, endpoint.count(), 0)
+	}
 }
 
 // Guards against attempts that reached no endpoint counting against the allowance for retries.
--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -18,11 +18,14 @@
 
 	"github.com/citronglade/citronglade/internal/base/eventlog"
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/machine"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
+	"github.com/citronglade/citronglade/internal/callers/bodymemory"
 	"github.com/citronglade/citronglade/internal/callers/forward"
 	"github.com/citronglade/citronglade/internal/host/gateway"
 	"github.com/citronglade/citronglade/internal/host/hub"
+	"github.com/citronglade/citronglade/internal/network/connections"
 	"github.com/citronglade/citronglade/internal/network/identity"
 	"github.com/citronglade/citronglade/internal/network/keys"
 	"github.com/citronglade/citronglade/internal/network/kind"
@@ -46,11 +49,18 @@
 	// table's limits for well-behaved callers are shorter.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = time.Minute
-	// maxHeaderBytes bounds the size of a request's header.
-	maxHeaderBytes = 64 << 10
+	// maxHeaderBytes bounds the size of a request's header; net/http accepts 4 KiB more. Routing tables allow callers 16 KiB.
+	maxHeaderBytes = 20 << 10
+	// writeTimeout bounds the time to write an answer of the listeners that callers don't use. The largest ones, the table and the metrics,
+	// take milliseconds. The handler for callers has its own limits.
+	writeTimeout = time.Minute
 	// memoryLimitShare is the fraction of the process's memory that is set as the soft memory limit of the Go runtime, above which
 	// garbage is collected more often.
 	memoryLimitShare = 0.7
+	// bodyMemoryShare is the fraction of the process's memory for the bodies of requests: six of the largest in an entry host of 112 MB.
+	bodyMemoryShare = 0.25
+	// messageMemoryShare is the fraction of the process's memory for messages of other hosts.
+	messageMemoryShare = 0.25
 	// answerMemoryShare is the fraction of the process's memory for answers that are buffered before they are passed on.
 	answerMemoryShare = 0.2
 )
@@ -77,6 +87,8 @@
 	gateway  *gateway.Gateway // nil without the entry role
 	hub      *hub.Hub         // nil without the control role
 	servers  []*server
+	bodies   *bodymemory.Budget
+	clients  *connections.Limit
 	stopping atomic.Bool
 }
 
@@ -86,6 +98,7 @@
 	socket        net.Listener
 	servesCallers bool // drain closes only these servers
 	connections   atomic.Int64
+	clients       *connections.Limit
 }
 
 // New opens the listeners of the host's roles. It fails with fault.BadSetting.
@@ -104,15 +117,47 @@
 	p := &Process{settings: s, log: eventlog.New("host", s.Label), timer: timer.New()}
 	p.link, err = link.New(link.Options{
 		Name: s.Name, Listen: p.linkAddress(s.Name), Identity: own, Handler: p.handleMessage, IdleTimeout: linkIdleTimeout,
-		Resolve: func(name unit.HostName) (string, bool) { return p.linkAddress(name), net.ParseIP(string(name)) != nil },
-		Streams: map[string]link.StreamHandler{kind.Relay: p.serveRelayed},
+		MessageMemory: int64(messageMemoryShare * float64(s.MemoryBytes)),
+		Resolve:       func(name unit.HostName) (string, bool) { return p.linkAddress(name), net.ParseIP(string(name)) != nil },
+		Streams:       map[string]link.StreamHandler{kind.Relay: p.serveRelayed},
 	})
 	if err != nil {
 		return nil, err
 	}
+	p.limitClients()
 	return p, p.openRoles(protocol)
 }
 
+// limitClients creates the limits for the clients of all listeners together.
+func (p *Process) limitClients() {
+	s := p.settings
+	p.bodies = bodymemory.New(bodymemory.Options{
+		Bytes: int64(bodyMemoryShare * float64(s.MemoryBytes)), Now: p.timer.Now, IdleTimeout: p.bodyTimeout,
+		Report: func(r bodymemory.Report) {
+			p.log.Warn("bodies-given-up", "for-memory", r.ForMemory, "for-time", r.ForTime, "used-bytes", r.UsedBytes)
+		},
+	})
+	p.clients = connections.New(connections.Most(machine.Descriptors(s.Descriptors), s.MemoryBytes, maxHeaderBytes), p.bodies.GiveUpOne)
+}
+
+// bodyTimeout returns the time without progress after which a body is given up.
+func (p *Process) bodyTimeout() time.Duration {
+	if p.gateway != nil {
+		if t := p.gateway.Handler().Table(); t != nil {
+			return max(t.IdleTimeout, bodymemory.DefaultIdleTimeout)
+		}
+	}
+	return bodymemory.DefaultIdleTimeout
+}
+
+// sweepClients gives up bodies that make no progress, and logs what was given up and closed since the last call.
+func (p *Process) sweepClients(context.Context) {
+	p.bodies.Sweep()
+	if r := p.clients.Report(); r.Closed > 0 {
+		p.log.Warn("connections-closed", "closed", r.Closed, "open", r.Open)
+	}
+}
+
 func (p *Process) linkAddress(name unit.HostName) string {
 	return net.JoinHostPort(string(name), strconv.Itoa(p.settings.LinkPort))
 }
@@ -153,9 +198,13 @@
 	if err != nil {
 		return fault.BadSetting.Wrap(err, "cannot listen on %s", address)
 	}
-	s := &server{socket: socket, servesCallers: servesCallers}
+	s := &server{socket: socket, servesCallers: servesCallers, clients: p.clients}
 	s.Server = &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: s.countConnection,
+		Handler: p.bodies.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: s.countConnection,
+	}
+	if !servesCallers {
+		s.WriteTimeout = writeTimeout
 	}
 	p.servers = append(p.servers, s)
 	return nil
@@ -205,6 +254,9 @@
 		<-logged
 	}()
 	p.addActor(&actors, work, "link", p.link.Run)
+	p.addActor(&actors, work, "clients", func(ctx context.Context) error {
+		return timer.Every(ctx, p.timer, bodymemory.SweepInterval, p.sweepClients)
+	})
 	p.addActor(&actors, work, "suspensions", func(ctx context.Context) error {
 		return timer.ReportSuspensions(ctx, p.timer, func(d time.Duration) { p.log.Warn("machine-suspended", "ms", d.Milliseconds()) })
 	})
@@ -259,7 +311,8 @@
 	return fault.Internal.Wrap(err, "cannot serve")
 }
 
-func (s *server) countConnection(_ net.Conn, state http.ConnState) {
+func (s *server) countConnection(c net.Conn, state http.ConnState) {
+	s.clients.Track(c, state)
 	switch state {
 	case http.StateNew:
 		s.connections.Add(1)
--- a/internal/host/platformhost/settings.go
+++ b/internal/host/platformhost/settings.go
@@ -34,6 +34,7 @@
 	LeaseWait   time.Duration // how long a new leader waits before it sends orders to replicas
 	StopGrace   time.Duration // longest time from the stop signal to the end of the process
 	MemoryBytes int64         // memory of the process, 0 for no limit
+	Descriptors int           // that the process may open, 0 for what the machine allows
 	Allowance   retrybudget.Settings
 	Assign      assign.Settings
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -16,9 +17,11 @@
 	"k8s.io/klog/v2"
 
 	"github.com/citronglade/citronglade/internal/base/fault"
+	"github.com/citronglade/citronglade/internal/base/machine"
 	"github.com/citronglade/citronglade/internal/base/timer"
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/callers/api"
+	"github.com/citronglade/citronglade/internal/callers/bodymemory"
 	"github.com/citronglade/citronglade/internal/callers/dispatch"
 	"github.com/citronglade/citronglade/internal/callers/meter"
 	"github.com/citronglade/citronglade/internal/callers/request"
@@ -28,6 +31,7 @@
 	"github.com/citronglade/citronglade/internal/host/entry"
 	"github.com/citronglade/citronglade/internal/host/operators"
 	"github.com/citronglade/citronglade/internal/host/settings"
+	"github.com/citronglade/citronglade/internal/network/connections"
 	"github.com/citronglade/citronglade/internal/network/identity"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/network/link"
@@ -38,12 +42,23 @@
 	// send requests to a closed port.
 	drainDelay    = 2 * time.Second
 	headerTimeout = 10 * time.Second
+	// callersListener is the name of the listener for callers.
+	callersListener = "callers"
 	// bodyIdleTimeout is the longest time between two reads of an answer before its endpoint counts as failed. Tokens come every
 	// 65 ms.
 	bodyIdleTimeout = 10 * time.Second
 	idleTimeout     = 2 * time.Minute
-	// maxHeaderBytes bounds the header size of a request on every listener.
-	maxHeaderBytes = 256 << 10
+	// maxHeaderBytes bounds the header size of a request on every listener. 1,000 connections take at most 80 MB with their headers.
+	maxHeaderBytes = 64 << 10
+	// writeTimeout bounds the time to write an answer of the listeners that callers don't use; the largest one is an export of the record.
+	writeTimeout = 5 * time.Minute
+	// bodyMemoryShare is the fraction of the process's memory for the bodies of requests.
+	bodyMemoryShare = 0.25
+	// messageMemoryShare is the fraction of the process's memory for messages of other hosts.
+	messageMemoryShare = 0.25
+	// memoryLimitShare is the fraction of the process's memory that is set as the soft memory limit of the Go runtime, above which garbage is
+	// collected more often.
+	memoryLimitShare = 0.7
 )
 
 // Process is one running host.
@@ -57,6 +72,8 @@
 	entry       *entry.Host   // nil without the entry role
 	requests    *request.Handler
 	listeners   []*listener
+	bodies      *bodymemory.Budget
+	clients     *connections.Limit
 	stopping    atomic.Bool
 }
 
@@ -78,10 +95,12 @@
 	p := &Process{settings: s, timer: timer.New(), incarnation: unit.Incarnation(time.Now().UnixMilli())}
 	p.link, err = link.New(link.Options{
 		Name: s.Name, Listen: s.LinkListen, Peers: s.Peers, Identity: own, Handler: p.handleMessage,
+		MessageMemory: int64(messageMemoryShare * float64(p.memory())),
 	})
 	if err != nil {
 		return nil, err
 	}
+	p.limitClients()
 	p.leaders = leader.New(p.link.Call, s.ControlHosts)
 	if err := p.openEntry(); err != nil {
 		return nil, err
@@ -92,6 +111,38 @@
 	return p, p.openOperators(own)
 }
 
+// memory returns the memory of the process in bytes.
+func (p *Process) memory() int64 {
+	if p.settings.MemoryMB > 0 {
+		return int64(p.settings.MemoryMB) << 20
+	}
+	return machine.Memory()
+}
+
+// limitClients creates the limits for the clients of all listeners together.
+func (p *Process) limitClients() {
+	memory := p.memory()
+	if p.settings.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitShare * float64(memory)))
+	}
+	p.bodies = bodymemory.New(bodymemory.Options{
+		Bytes: int64(bodyMemoryShare * float64(memory)), Now: p.timer.Now,
+		IdleTimeout: func() time.Duration { return bodymemory.DefaultIdleTimeout },
+		Report: func(r bodymemory.Report) {
+			klog.Warningf("host: bodies given up: %d for memory, %d for time; %d bytes are in use", r.ForMemory, r.ForTime, r.UsedBytes)
+		},
+	})
+	p.clients = connections.New(connections.Most(machine.Descriptors(p.settings.MaxDescriptors), memory, maxHeaderBytes), p.bodies.GiveUpOne)
+}
+
+// sweepClients gives up bodies that make no progress, and logs what was given up and closed since the last call.
+func (p *Process) sweepClients(context.Context) {
+	p.bodies.Sweep()
+	if r := p.clients.Report(); r.Closed > 0 {
+		klog.Warningf("host: %d connections closed because of the limit, %d are open", r.Closed, r.Open)
+	}
+}
+
 // Run serves until ctx ends, then stops gracefully: it reports that it isn't ready, finishes the running requests, ships the rest of
 // the record, and hands over the groups that it leads.
 func (p *Process) Run(ctx context.Context) error {
@@ -99,6 +150,9 @@
 	work, stopWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopWork()
 	addActor(&actors, work, "link", p.link.Run)
+	addActor(&actors, work, "clients", func(ctx context.Context) error {
+		return timer.Every(ctx, p.timer, bodymemory.SweepInterval, p.sweepClients)
+	})
 	addActor(&actors, work, "suspensions", func(ctx context.Context) error {
 		return timer.ReportSuspensions(ctx, p.timer, func(d time.Duration) { klog.Warningf("host: the machine was suspended for %v", d) })
 	})
@@ -152,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), p.settings.StopGrace)
 	defer cancel()
 	for _, l := range p.listeners {
-		if l.name == "callers" {
+		if l.name == callersListener {
 			if err := l.server.Shutdown(ctx); err != nil {
 				klog.Warningf("host: requests were still running after %s", p.settings.StopGrace)
 			}
@@ -198,7 +252,7 @@
 	endpoints := intake.New(intake.Options{
 		Key: strings.TrimSpace(string(key)), Sample: s.CacheEventSample, OnAnnouncement: p.entry.Router().ApplyAnnouncement, OnCacheEvents: p.entry.Router().ApplyEvents,
 	})
-	if err := p.listen("callers", s.CallerListen, callers); err != nil {
+	if err := p.listen(callersListener, s.CallerListen, callers); err != nil {
 		return err
 	}
 	if err := p.listen("endpoints", s.EndpointListen, endpoints); err != nil {
@@ -229,9 +283,14 @@
 	if err != nil {
 		return fault.BadSetting.Wrap(err, "cannot listen on %s for %s", address, name)
 	}
-	p.listeners = append(p.listeners, &listener{name: name, socket: socket, done: make(chan struct{}), server: &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}})
+	l := &listener{name: name, socket: socket, done: make(chan struct{}), server: &http.Server{
+		Handler: p.bodies.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		ConnState: p.clients.Track,
+	}}
+	if name != callersListener {
+		l.server.WriteTimeout = writeTimeout
+	}
+	p.listeners = append(p.listeners, l)
 	return nil
 }
 
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -59,6 +59,8 @@
 	RecordInterval     time.Duration
 	StopGrace          time.Duration
 	MetricCustomers    int
+	// MemoryMB is the memory of the process in MiB, and MaxDescriptors the descriptors that it may open; 0 for those of the machine.
+	MemoryMB, MaxDescriptors int
 }
 
 // Has reports whether the host has the role.
--- a/internal/host/settings/table.go
+++ b/internal/host/settings/table.go
@@ -95,6 +95,8 @@
 	{"concurrent-loads", "replicas that may load weights at once", "3", "a whole number from 1 to 100", setNumber(1, 100, func(s *Settings) *int { return &s.ConcurrentLoads })},
 	{"record-interval", "how often an entry host ships its record", "200ms", "a duration from 10ms to 10s", setDuration(10*time.Millisecond, 10*time.Second, func(s *Settings) *time.Duration { return &s.RecordInterval })},
 	{"stop-grace", "how long a planned stop waits for running requests", "5m", "a duration from 1s to 1h", setDuration(time.Second, time.Hour, func(s *Settings) *time.Duration { return &s.StopGrace })},
+	{"memory-mb", "memory of the process in MiB, from which the limits for clients follow; 0 for that of the machine", "0", "a whole number from 0 to 1048576", setNumber(0, 1<<20, func(s *Settings) *int { return &s.MemoryMB })},
+	{"max-descriptors", "descriptors that the process may open; 0 for those that the machine allows", "0", "a whole number from 0 to 1048576", setNumber(0, 1<<20, func(s *Settings) *int { return &s.MaxDescriptors })},
 	{"metric-customers", "customers with histograms of their own; the others share one", "200", "a whole number from 0 to 5000", setNumber(0, 5000, func(s *Settings) *int { return &s.MetricCustomers })},
 }
 
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -114,6 +114,8 @@
 	Customers []Customer `cbor:"4,keyasint"`
 	// MaxBody is the largest request body, in bytes; 0 means DefaultMaxBody.
 	MaxBody int64 `cbor:"5,keyasint,omitempty"`
+	// IdleTimeout is the longest pause of a caller within a request; 0 means that the table states none.
+	IdleTimeout time.Duration `cbor:"6,keyasint,omitempty"`
 
 	byHost             map[string][]*Route // longest prefix first
 	byService          map[ServiceName]*Service
