Test harmless parts that hide deadly ones, and the likely deadly ones last

Of the parts in doubt, deadly ones were tried beside harmless ones, whose trials broke off with them.

Change: a blocked part is in doubt, too, if free parts that stand later in prompts may explain its crashes (Cause.HidesOthers). It gets one trial, alone, preferably with a request without another suspect. A part that stands behind all others in three crashes (Cause.Last) is tried 4 s later than the others, and alone. No trial of a likely deadly part starts while another one may run, and one engine at least is left without a trial.

--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -9,6 +9,29 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 )
 
+// Cause is a part that is blocked because it explains crashes.
+type Cause struct {
+	Part    PartID
+	Crashes int // crashes that it explains
+	// AnsweredBefore is set if requests with the part were answered before these crashes.
+	AnsweredBefore bool
+	// OwnCrashes is the number of separate crashes that no other blocked part explains. Doubtful is set if the part wouldn't be blocked for
+	// these alone, so that it may be harmless.
+	OwnCrashes int
+	Doubtful   bool
+	// HidesOthers is set if the part is doubtful only because parts that stand later in prompts may explain its crashes. Requests with
+	// these are refused with it, so that nothing more is learned of them.
+	HidesOthers bool
+	// Last is set if in at least CrashesNeeded separate crashes no other part that was never answered stands later in prompts. Such a part is
+	// the most likely cause, since those before it always come with it.
+	Last bool
+	// Rivals is the number of other parts of the checked prompt that may have caused at least two crashes, or one if HidesOthers is set,
+	// whether or not these are explained.
+	Rivals    int
+	LastCrash unit.Moment
+	Until     unit.Moment
+}
+
 // suspect is a part and the crashes that count against it, in order of time.
 type suspect struct {
 	id        PartID
@@ -45,7 +68,12 @@
 	if all.separate < CrashesNeeded {
 		return
 	}
-	r.findCauses(lifetimes, false, CrashesNeeded)
+	suspects := r.findCauses(lifetimes, false, CrashesNeeded)
+	latest := r.latestPositions(suspects, func(*suspect) bool { return true })
+	latestFree := r.latestPositions(suspects, func(s *suspect) bool {
+		_, blocked := r.causes[s.id]
+		return !blocked && s.separate >= suspectCrashes
+	})
 	lifetimes = slices.DeleteFunc(lifetimes, func(l registry.Lifetime) bool { return r.explained[l] })
 	r.findCauses(lifetimes, true, answeredCrashesNeeded)
 	for id, cause := range r.causes {
@@ -53,8 +81,10 @@
 		if cause.AnsweredBefore {
 			needed = answeredCrashesNeeded
 		}
-		cause.OwnCrashes = countSeparate(r.crashesOnlyOf(id))
-		cause.Doubtful = cause.OwnCrashes < needed
+		cause.OwnCrashes = countSeparate(r.crashesOnlyOf(id, nil))
+		cause.HidesOthers = cause.OwnCrashes >= needed && countSeparate(r.crashesOnlyOf(id, latestFree)) < needed
+		cause.Doubtful = cause.OwnCrashes < needed || cause.HidesOthers
+		cause.Last = r.isLast(id, latest)
 		r.causes[id] = cause
 	}
 }
@@ -62,8 +92,9 @@
 // findCauses goes through crashes in order of time. A crash that no cause explains gets the most likely of its parts as another cause, if
 // enough crashes count against it. The causes found before stay: two parts that crashed engines together can't be told from one of them
 // alone. Only the parts that were answered before, or only those that weren't, are considered; of the former, those that stayed without an
-// answer although others of the same crashes were answered since. While all engines are down, nothing is answered.
-func (r *Register) findCauses(lifetimes []registry.Lifetime, answered bool, needed int) {
+// answer although others of the same crashes were answered since. While all engines are down, nothing is answered. It returns the parts that
+// it considered.
+func (r *Register) findCauses(lifetimes []registry.Lifetime, answered bool, needed int) map[PartID]*suspect {
 	suspects := map[PartID]*suspect{}
 	var found []*suspect
 	if !answered {
@@ -104,6 +135,32 @@
 			Part: s.id, Crashes: len(s.lifetimes), AnsweredBefore: answered, LastCrash: s.newest, Until: s.newest.Add(blockDuration + r.extraBlockTime),
 		}
 	}
+	return suspects
+}
+
+// latestPositions returns for each crash the last position of the suspects that count.
+func (r *Register) latestPositions(suspects map[PartID]*suspect, counts func(s *suspect) bool) map[registry.Lifetime]uint8 {
+	latest := map[registry.Lifetime]uint8{}
+	for id, s := range suspects {
+		if !counts(s) {
+			continue
+		}
+		for _, l := range s.lifetimes {
+			latest[l] = max(latest[l], r.crashes[l].parts[id].Position)
+		}
+	}
+	return latest
+}
+
+// isLast reports whether a part stands at the latest position in enough crashes.
+func (r *Register) isLast(id PartID, latest map[registry.Lifetime]uint8) bool {
+	var times []unit.Moment
+	for l, c := range r.crashes {
+		if r.holds(c, id) && c.parts[id].Position >= latest[l] {
+			times = append(times, c.at)
+		}
+	}
+	return countSeparate(times) >= CrashesNeeded
 }
 
 // blockedSuspects returns the parts that were blocked before and haven't been answered since, with the crashes that count against them, and
@@ -167,11 +224,12 @@
 	return times
 }
 
-// crashesOnlyOf returns the times of the crashes that count against a blocked part and that no other blocked part explains.
-func (r *Register) crashesOnlyOf(id PartID) []unit.Moment {
+// crashesOnlyOf returns the times of the crashes that count against a blocked part and that neither another blocked part explains nor a later
+// part that isn't blocked. These stand at the latest positions, if they are given.
+func (r *Register) crashesOnlyOf(id PartID, latest map[registry.Lifetime]uint8) []unit.Moment {
 	var times []unit.Moment
-	for _, c := range r.crashes {
-		if r.holds(c, id) && !r.heldByAnother(c, id) {
+	for l, c := range r.crashes {
+		if r.holds(c, id) && latest[l] <= c.parts[id].Position && !r.heldByAnother(c, id) {
 			times = append(times, c.at)
 		}
 	}
--- a/internal/routing/crashcause/model_test.go
+++ b/internal/routing/crashcause/model_test.go
@@ -42,6 +42,7 @@
 	deadlyParts    int
 	soundBefore    bool            // the parts crash engines only from warmUpTime on
 	cold           bool            // they are sent from the first second on
+	sharedSubject  bool            // all of them follow the same first part and subject
 	restartTime    time.Duration   // of an engine, restartTime if 0
 	otherCrashes   []time.Duration // times at which a fifth of the engines crash for another reason
 	restarts       []time.Duration // times at which every second host loses what it knew
@@ -108,7 +109,11 @@
 	r := modelRequest{host: m.random.IntN(len(m.hosts))}
 	if m.random.Float64() < m.share && (m.now >= at(warmUpTime) || m.soundBefore || m.cold) {
 		k := crashcause.PartID(m.random.IntN(m.deadlyParts))
-		r.ids, r.deadly = []crashcause.PartID{k, 100 + k, 1_000_000 + k}, m.now >= at(warmUpTime) || m.cold
+		before := k
+		if m.sharedSubject {
+			before = 0
+		}
+		r.ids, r.deadly = []crashcause.PartID{before, 100 + before, 1_000_000 + k}, m.now >= at(warmUpTime) || m.cold
 		return r
 	}
 	popularity := math.Pow(m.random.Float64(), 1.5)
@@ -121,7 +126,7 @@
 	h := m.hosts[r.host]
 	cause, blocked := h.Check(m.now, r.ids)
 	if blocked && cause.Doubtful && r.attempt == 0 {
-		blocked = !m.trials.Grant(m.now, parttrial.Query{Part: cause.Part, Rivals: uint(cause.Rivals)}, m.control)
+		blocked = !m.trials.Grant(m.now, parttrial.Query{Part: cause.Part, Rivals: uint(cause.Rivals), Engines: uint(len(m.engines))}, m.control)
 	}
 	if !r.deadly && r.attempt == 0 {
 		m.countSound(r, blocked)
@@ -289,6 +294,7 @@
 		{name: "two parts, few engines, hosts restart", hosts: 3, engines: 3, perSecond: 100, subjects: 20, share: 0.1, deadlyParts: 2, restarts: []time.Duration{4 * time.Second, 5 * time.Second, 6 * time.Second}},
 		{name: "four parts from the first second on, few engines", hosts: 3, engines: 3, perSecond: 60, subjects: 20, share: 0.4, deadlyParts: 4, cold: true, restartTime: 500 * time.Millisecond},
 		{name: "two parts from the first second on, few engines", hosts: 3, engines: 3, perSecond: 45, subjects: 20, share: 0.3, deadlyParts: 2, cold: true, restartTime: 500 * time.Millisecond},
+		{name: "four parts after one subject, few engines, other crashes meanwhile", hosts: 3, engines: 3, perSecond: 80, subjects: 20, share: 0.32, deadlyParts: 4, cold: true, sharedSubject: true, restartTime: 500 * time.Millisecond, otherCrashes: []time.Duration{2 * time.Second, 3 * time.Second, 5 * time.Second, 8 * time.Second}},
 		{name: "many subjects", hosts: 7, engines: 18, perSecond: 120, subjects: 2000, share: 0.05, deadlyParts: 1},
 		{name: "75 hosts", hosts: 75, engines: 60, perSecond: 600, subjects: 1000, share: 0.05, deadlyParts: 1},
 		{name: "300 hosts", hosts: 300, engines: 240, perSecond: 2000, subjects: 5000, share: 0.02, deadlyParts: 1},
--- a/internal/routing/crashcause/register.go
+++ b/internal/routing/crashcause/register.go
@@ -122,22 +122,6 @@
 	lastChange change
 }
 
-// Cause is a part that is blocked because it explains crashes.
-type Cause struct {
-	Part    PartID
-	Crashes int // crashes that it explains
-	// AnsweredBefore is set if requests with the part were answered before these crashes.
-	AnsweredBefore bool
-	// OwnCrashes is the number of separate crashes that no other blocked part explains. Doubtful is set if the part wouldn't be blocked for
-	// these alone, so that it may be harmless.
-	OwnCrashes int
-	Doubtful   bool
-	// Rivals is the number of other parts of the checked prompt that may have caused at least two crashes, whether or not these are explained.
-	Rivals    int
-	LastCrash unit.Moment
-	Until     unit.Moment
-}
-
 // New returns an empty register. The draw is a random number in [0, 1) that sets the host's end of a block within blockSpread.
 func New(draw float64) *Register {
 	recent, _ := simplelru.NewLRU[PartID, answerVersion](maxRecentParts, nil) // fails only for a size below 1
@@ -181,15 +165,18 @@
 		}
 	}
 	if cause.Doubtful {
-		cause.Rivals = r.countRivals(cause.Part, parts)
+		cause.Rivals = r.countRivals(cause, parts)
 	}
 	return cause, blocked
 }
 
-func (r *Register) countRivals(blocked PartID, parts []PartID) int {
-	rivals := 0
+func (r *Register) countRivals(blocked Cause, parts []PartID) int {
+	rivals, needed := 0, suspectCrashes
+	if blocked.HidesOthers {
+		needed = 1
+	}
 	for _, id := range parts {
-		if id != blocked && countSeparate(r.crashTimes(id, false)) >= suspectCrashes {
+		if id != blocked.Part && countSeparate(r.crashTimes(id, false)) >= needed {
 			rivals++
 		}
 	}
--- a/internal/routing/crashcause/register_test.go
+++ b/internal/routing/crashcause/register_test.go
@@ -240,6 +240,44 @@
 	}
 }
 
+// Guards against a harmless first part that is certainly blamed for crashes of another origin, too, so that requests with the deadly part
+// behind it are refused for the wrong reason and nothing more is learned of either (soak seed 39).
+func TestAPartIsDoubtfulThatHidesALaterOne(t *testing.T) {
+	r := New(0)
+	for i, parts := range [][]Part{prompt(first), prompt(first, deadly), prompt(first, deadly), prompt(first, deadly)} {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), parts)
+	}
+	now := at(10 * time.Second)
+	cause, blocked := r.Check(now, []PartID{first})
+	assert.Assert(t, blocked && cause.Doubtful && cause.HidesOthers)
+	assert.Equal(t, cause.Rivals, 0)
+	cause, _ = r.Check(now, []PartID{first, deadly})
+	assert.Equal(t, cause.Rivals, 1)
+	r.RecordServed(now, prompt(first))
+	causes := r.Causes(now)
+	assert.Equal(t, len(causes), 1)
+	assert.Equal(t, causes[0].Part, deadly)
+	assert.Assert(t, !causes[0].Doubtful && causes[0].Last)
+}
+
+// Guards against a part that is taken for the most likely cause, and tried last, although others of the same prompts stand behind it.
+func TestOnlyThePartBehindAllOthersIsLast(t *testing.T) {
+	r := New(0)
+	for i := range 4 {
+		r.RecordCrash(at(time.Duration(i)*time.Second), lifetime(i), prompt(first, subject, []PartID{deadly, other}[i%2]))
+	}
+	for i := range 3 {
+		r.RecordCrash(at(time.Duration(10+i)*time.Second), lifetime(10+i), prompt(first, subject, deadly, other)[:2+i%2])
+	}
+	last := map[PartID]bool{}
+	for _, c := range r.Causes(at(20 * time.Second)) {
+		last[c.Part] = c.Last
+	}
+	assert.DeepEqual(t, last, map[PartID]bool{subject: false})
+	r.RecordServed(at(20*time.Second), prompt(first, subject))
+	assert.Assert(t, r.Causes(at(20 * time.Second))[0].Last)
+}
+
 // Guards against a trial of a request with two blocked parts, whose crash wouldn't tell which of them is deadly.
 func TestARequestWithTwoBlockedPartsIsNotInDoubt(t *testing.T) {
 	r := New(0)
--- a/internal/routing/parttrial/schedule.go
+++ b/internal/routing/parttrial/schedule.go
@@ -17,10 +17,12 @@
 	// doubtTime longer for each crash that only its blocked part explains and for each rival of the part, so that requests which are more
 	// likely to be harmless go first.
 	quietTime, doubtTime = 500 * time.Millisecond, 4 * time.Second
-	// maxRecent limits the trials granted in the last recentTime that have no result yet.
+	// maxRecent limits the trials granted in the last recentTime that have no result yet. There may be one fewer than engines:
+	// trials that crash their engines together must leave an engine to the other requests.
 	maxRecent, recentTime = 4, time.Second
-	// maxFailures is the number of trials of a part that may end with a crash.
-	maxFailures = 2
+	// maxFailures is the number of trials of a part that may end with a crash, maxHidingFailures of a part with Cause.HidesOthers: three
+	// crashes count against it, and the users allow three more.
+	maxFailures, maxHidingFailures = 2, 1
 	// maxRivals limits the rivals that count.
 	maxRivals = 10
 	// maxParts limits the parts whose trials are remembered.
@@ -51,21 +53,30 @@
 	Part crashcause.PartID `cbor:"1,keyasint"`
 	// Rivals is the number of other parts of the request that may have caused crashes. If it isn't 0, a crash would say little of Part.
 	Rivals uint `cbor:"2,keyasint,omitempty"`
+	// Engines is the number of engines that may run the request, 0 if it isn't known.
+	Engines uint `cbor:"3,keyasint,omitempty"`
 }
 
 // Grant reports whether one request may be sent to an engine now although a part of it is blocked.
 func (s *Schedule) Grant(now unit.Moment, q Query, causes *crashcause.Register) bool {
 	part := q.Part
-	recent, risky := s.settle(now, causes)
+	recent, riskyRecent, riskyRunning := s.settle(now, causes)
 	cause, blocked := causes.Check(now, []crashcause.PartID{part})
 	lastCrash, _ := causes.LastCrash()
-	doubts := time.Duration(cause.OwnCrashes) + time.Duration(min(q.Rivals, maxRivals)) //nolint:gosec // bounded
+	doubts, failures := time.Duration(min(q.Rivals, maxRivals)), maxHidingFailures //nolint:gosec // bounded
+	if !cause.HidesOthers {
+		doubts, failures = doubts+time.Duration(cause.OwnCrashes), maxFailures
+	}
+	if cause.Last {
+		doubts++
+	}
+	risky := doubts > 0 || cause.HidesOthers
 	switch {
-	case !blocked || !cause.Doubtful || recent >= maxRecent || now.Sub(s.startedAt) < trialTimeout:
+	case !blocked || !cause.Doubtful || recent >= maxRecentOf(q.Engines) || now.Sub(s.startedAt) < trialTimeout:
 		return false
 	case now.Sub(lastCrash) < quietTime+doubts*doubtTime:
 		return false
-	case risky || doubts > 0 && recent > 0:
+	case riskyRecent || risky && (riskyRunning || recent > 0):
 		// Several crashes at once would leave few engines, and break off the trials of harmless parts there.
 		return false
 	}
@@ -77,18 +88,23 @@
 		known = &trials{ended: true}
 		s.trials[part] = known
 	}
-	if known.failures >= maxFailures || !known.ended && now.Sub(known.grantedAt) < trialTimeout {
+	if known.failures >= failures || !known.ended && now.Sub(known.grantedAt) < trialTimeout {
 		return false
 	}
-	known.grantedAt, known.ended, known.risky = now, false, doubts > 0
+	known.grantedAt, known.ended, known.risky = now, false, risky
 	return true
 }
 
-// settle records the results of trials and returns the number of recent ones without a result, and whether one of these will probably crash
-// its engine.
-func (s *Schedule) settle(now unit.Moment, causes *crashcause.Register) (recent int, risky bool) {
+func maxRecentOf(engines uint) int {
+	return int(min(max(engines, 2)-1, maxRecent)) //nolint:gosec // bounded
+}
+
+// settle records the results of trials. It returns the number of recent ones without a result, whether one of these will probably crash its
+// engine, and whether such a trial may still run.
+func (s *Schedule) settle(now unit.Moment, causes *crashcause.Register) (recent int, riskyRecent, riskyRunning bool) {
 	for part, t := range s.trials {
 		cause, blocked := causes.Check(now, []crashcause.PartID{part})
+		age := now.Sub(t.grantedAt)
 		switch {
 		case !blocked:
 			delete(s.trials, part)
@@ -96,10 +112,13 @@
 		case cause.LastCrash > t.grantedAt:
 			t.ended = true
 			t.failures++
-		case now.Sub(t.grantedAt) < recentTime:
-			recent++
-			risky = risky || t.risky
+		case age < trialTimeout:
+			riskyRunning = riskyRunning || t.risky
+			if age < recentTime {
+				recent++
+				riskyRecent = riskyRecent || t.risky
+			}
 		}
 	}
-	return recent, risky
+	return recent, riskyRecent, riskyRunning
 }
--- a/internal/routing/parttrial/schedule_test.go
+++ b/internal/routing/parttrial/schedule_test.go
@@ -1,6 +1,7 @@
 package parttrial
 
 import (
+	"cmp"
 	"testing"
 	"time"
 
@@ -66,6 +67,7 @@
 		run     func(s *Schedule, r *crashcause.Register)
 		part    crashcause.PartID
 		rivals  uint
+		engines uint // 12 if 0
 		at      time.Duration
 		granted bool
 	}{
@@ -87,6 +89,9 @@
 		{name: "beside one of another part", run: func(s *Schedule, r *crashcause.Register) {
 			s.Grant(at(quiet-time.Second), Query{Part: subject}, r)
 		}, part: subject2, at: quiet, granted: true},
+		{name: "not beside one of another part on the last other engine", run: func(s *Schedule, r *crashcause.Register) {
+			assert.Assert(t, s.Grant(at(quiet-500*time.Millisecond), Query{Part: subject}, r))
+		}, part: subject2, engines: 2, at: quiet},
 		{name: "not beside one that probably crashes its engine", run: func(s *Schedule, r *crashcause.Register) {
 			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: deadly2}, r))
 		}, part: subject, at: quiet + 10*time.Second + 500*time.Millisecond},
@@ -96,6 +101,9 @@
 		{name: "one that probably crashes its engine, not beside another one", run: func(s *Schedule, r *crashcause.Register) {
 			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: subject}, r))
 		}, part: deadly2, at: quiet + 10*time.Second + 500*time.Millisecond},
+		{name: "one that probably crashes its engine, not while another such one runs", run: func(s *Schedule, r *crashcause.Register) {
+			assert.Assert(t, s.Grant(at(quiet+10*time.Second), Query{Part: deadly2}, r))
+		}, part: subject, rivals: 2, at: quiet + 11500*time.Millisecond},
 		{name: "after one that crashed with a deadly part", run: func(s *Schedule, r *crashcause.Register) {
 			s.Grant(at(quiet), Query{Part: subject}, r)
 			crash(r, 21, subject, deadly)
@@ -114,7 +122,36 @@
 			if c.run != nil {
 				c.run(s, r)
 			}
-			assert.Equal(t, s.Grant(at(c.at), Query{c.part, c.rivals}, r), c.granted)
+			assert.Equal(t, s.Grant(at(c.at), Query{c.part, c.rivals, cmp.Or(c.engines, 12)}, r), c.granted)
 		})
 	}
 }
+
+// Guards against trials of deadly parts before those of harmless ones: while the parts in front of it explain its crashes, too, a deadly part
+// looks as harmless as they do (soak seed 34).
+func TestAPartBehindAllOthersIsTriedLater(t *testing.T) {
+	r := crashcause.New(0)
+	for n, ids := range [][]crashcause.PartID{{subject, deadly}, {subject, deadly}, {subject, deadly}, {subject}} {
+		crash(r, n, ids...)
+	}
+	const lastCrash = 3 * time.Second
+	cause, _ := r.Check(at(lastCrash), []crashcause.PartID{deadly})
+	assert.Assert(t, cause.Doubtful && cause.OwnCrashes == 0)
+	query := Query{Part: deadly, Engines: 12}
+	assert.Assert(t, !New(0).Grant(at(lastCrash+time.Second), query, r))
+	assert.Assert(t, New(0).Grant(at(lastCrash+quietTime+doubtTime), query, r))
+}
+
+// Guards against more than one crash for the sake of a part that is probably deadly and only hides others.
+func TestAPartThatHidesOthersIsTriedOnce(t *testing.T) {
+	s, r := New(0), crashcause.New(0)
+	for n, ids := range [][]crashcause.PartID{{subject}, {subject, deadly}, {subject, deadly}, {subject, deadly}} {
+		crash(r, n, ids...)
+	}
+	query := Query{Part: subject, Engines: 12}
+	assert.Assert(t, s.Grant(at(5*time.Second), query, r))
+	crash(r, 6, subject)
+	cause, _ := r.Check(at(time.Minute), []crashcause.PartID{subject})
+	assert.Assert(t, cause.HidesOthers)
+	assert.Assert(t, !s.Grant(at(time.Minute), query, r))
+}
