Tell the leader how many engines may run a trial

Cause: the leader bounded trials by a constant, 4 within a second, so that they could take down all engines of a small service.

--- a/internal/callers/forward/crash.go
+++ b/internal/callers/forward/crash.go
@@ -122,7 +122,9 @@
 		return false
 	}
 	if r.triedPart == nil || *r.triedPart != cause.Part {
-		if !r.h.TryPart(ctx, cause) {
+		engines := 0
+		r.h.WithRoutingState(func(a *assign.Assigner, _ *retrybudget.Budget) { engines = a.CountEndpoints(r.service.Name) })
+		if !r.h.TryPart(ctx, cause, engines) {
 			return false
 		}
 		r.triedPart = &cause.Part
--- a/internal/callers/forward/handler.go
+++ b/internal/callers/forward/handler.go
@@ -69,8 +69,8 @@
 	// InStep reports whether this host has lately been in contact with the control hosts, so that it knows the endpoints' lifetimes.
 	InStep func() bool
 	// TryPart asks the leader of the control hosts whether one request in which only the part of this cause is blocked may be sent, to find
-	// out whether the part is harmless.
-	TryPart func(ctx context.Context, cause crashcause.Cause) bool
+	// out whether the part is harmless. The engines are those that may run the request.
+	TryPart func(ctx context.Context, cause crashcause.Cause, engines int) bool
 	// MaxAnswerMemory limits the memory for buffered answers of all requests together, in bytes. 0 means 24 MiB.
 	MaxAnswerMemory int64
 	// Relay hands a request to another entry host and waits for the head of its answer. It fails with fault.Unreachable if no host took
--- a/internal/callers/forward/handler_test.go
+++ b/internal/callers/forward/handler_test.go
@@ -185,7 +185,7 @@
 		FindStream: func(context.Context, streamorigin.Query) (streamorigin.Origin, bool) {
 			return streamorigin.Origin{}, false
 		},
-		TryPart: func(context.Context, crashcause.Cause) bool { return false }, InStep: func() bool { return true },
+		TryPart: func(context.Context, crashcause.Cause, int) bool { return false }, InStep: func() bool { return true },
 		Assign: assign.Settings{ReportSilence: time.Hour},
 	})
 	var known []registry.Endpoint
--- a/internal/callers/forward/trial_test.go
+++ b/internal/callers/forward/trial_test.go
@@ -37,7 +37,8 @@
 			endpoint := newFakeEndpoint(t, func() string { return success })
 			h := newTestHandler(t, endpoint)
 			var asked []crashcause.PartID
-			h.TryPart = func(_ context.Context, cause crashcause.Cause) bool {
+			h.TryPart = func(_ context.Context, cause crashcause.Cause, engines int) bool {
+				assert.Equal(t, engines, 1)
 				asked = append(asked, cause.Part)
 				return c.granted
 			}
--- a/internal/host/gateway/trials.go
+++ b/internal/host/gateway/trials.go
@@ -18,9 +18,9 @@
 	trialQueryPause   = 100 * time.Millisecond
 )
 
-// tryPart asks the leader of the control hosts whether a request in which only the part of this cause is blocked may be sent. Without an
-// answer it may not.
-func (g *Gateway) tryPart(ctx context.Context, cause crashcause.Cause) bool {
+// tryPart asks the leader of the control hosts whether a request in which only the part of this cause is blocked may be sent to one of the
+// given number of engines. Without an answer it may not.
+func (g *Gateway) tryPart(ctx context.Context, cause crashcause.Cause, engines int) bool {
 	now := g.Timer.Now()
 	g.mu.Lock()
 	hosts, due := g.candidateHosts(), now.Sub(g.trialAskedAt) >= trialQueryPause
@@ -34,7 +34,7 @@
 	ctx, cancel := context.WithTimeout(ctx, trialQueryTimeout)
 	defer cancel()
 	g.leaderCaller.SetHosts(hosts)
-	payload, err := codec.Marshal(parttrial.Query{Part: cause.Part, Rivals: uint(max(cause.Rivals, 0))}) //nolint:gosec // not negative
+	payload, err := codec.Marshal(parttrial.Query{Part: cause.Part, Rivals: uint(max(cause.Rivals, 0)), Engines: uint(max(engines, 0))}) //nolint:gosec // not negative
 	if err != nil {
 		g.Log.Error("message-not-sent", "cause", err.Error())
 		return false
--- a/internal/routing/assign/leaving.go
+++ b/internal/routing/assign/leaving.go
@@ -44,6 +44,17 @@
 	return leaving
 }
 
+// CountEndpoints returns the number of a service's endpoints that aren't leaving.
+func (a *Assigner) CountEndpoints(service table.ServiceName) int {
+	count := 0
+	for _, r := range a.services[service] {
+		if !r.Draining && !r.leaving {
+			count++
+		}
+	}
+	return count
+}
+
 // Pause records that an endpoint asks this host to send nothing for a time, and returns the moment until which it gets nothing.
 // The draw, a random number in [0, 1), spreads the moments at which hosts return.
 func (a *Assigner) Pause(now unit.Moment, l registry.Lifetime, asked time.Duration, draw float64) unit.Moment {
