--- a/internal/routing/crashcause/explain.go
+++ b/internal/routing/crashcause/explain.go
@@ -15,12 +15,12 @@
 	Crashes int // crashes that it explains
 	// AnsweredBefore is set if requests with the part were answered before these crashes.
 	AnsweredBefore bool
-	// OwnCrashes is the number of separate crashes that no other blocked part explains. Doubtful is set if the part wouldn't be blocked for
-	// these alone, so that it may be harmless.
+	// OwnCrashes is the number of separate crashes that neither another blocked part explains nor a part that stands later in prompts and
+	// in several crashes: requests with such a part are refused with this one, so that nothing more is learned of it. Doubtful is set if
+	// the part wouldn't be blocked for these alone, so that it may be harmless.
 	OwnCrashes int
 	Doubtful   bool
-	// HidesOthers is set if the part is doubtful only because parts that stand later in prompts may explain its crashes. Requests with
-	// these are refused with it, so that nothing more is learned of them.
+	// HidesOthers is set if the other blocked parts alone wouldn't make it doubtful.
 	HidesOthers bool
 	// Last is set if in at least CrashesNeeded separate crashes no other part that was never answered stands later in prompts. Such a part is
 	// the most likely cause, since those before it always come with it.
@@ -81,9 +81,10 @@
 		if cause.AnsweredBefore {
 			needed = answeredCrashesNeeded
 		}
-		cause.OwnCrashes = countSeparate(r.crashesOnlyOf(id, nil))
-		cause.HidesOthers = cause.OwnCrashes >= needed && countSeparate(r.crashesOnlyOf(id, latestFree)) < needed
-		cause.Doubtful = cause.OwnCrashes < needed || cause.HidesOthers
+		notOfBlocked := countSeparate(r.crashesOnlyOf(id, nil))
+		cause.OwnCrashes = countSeparate(r.crashesOnlyOf(id, latestFree))
+		cause.Doubtful = cause.OwnCrashes < needed
+		cause.HidesOthers = cause.Doubtful && notOfBlocked >= needed
 		cause.Last = r.isLast(id, latest)
 		r.causes[id] = cause
 	}
