--- a/internal/callers/forward/room.go
+++ b/internal/callers/forward/room.go
@@ -12,10 +12,10 @@
 	"github.com/citronglade/citronglade/internal/routing/assign"
 )
 
-// setClass puts the request into a class of urgency, if its service has several and their urgency agrees with their objectives. Otherwise a less urgent
-// class would be refused although its callers wait for less time.
+// setClass puts the request into a class of urgency, if its service has several and the less urgent ones can wait for the most urgent one. Otherwise a
+// less urgent class would be refused or late although its callers don't wait much longer.
 func (r *request) setClass(w *assign.Request) {
-	if w.Gathering == table.GatherNone {
+	if w.Gathering == table.GatherNone || !r.table.HasPatientClasses(r.service.Name) {
 		return
 	}
 	w.Class, w.Classes = assign.ClassOf(r.priority(), r.table.StreamPriorities(r.service.Name))
--- a/internal/planning/table/gathering.go
+++ b/internal/planning/table/gathering.go
@@ -64,6 +64,15 @@
 	return g
 }
 
+// patientFactor is the ratio of objectives from which a less urgent class can wait for a more urgent one and still be served in time.
+const patientFactor = 2
+
+// HasPatientClasses reports whether the less urgent stream routes of a service that gathers streams have much longer objectives than the most urgent ones.
+func (t *Table) HasPatientClasses(name ServiceName) bool {
+	g, ok := t.gathering[name]
+	return ok && g.objective > 0 && g.other >= patientFactor*g.objective
+}
+
 // Gathering returns how requests of a route to a service are placed.
 func (t *Table) Gathering(name ServiceName, r *Route) Gathering {
 	g, ok := t.gathering[name]
--- a/internal/planning/table/gathering_test.go
+++ b/internal/planning/table/gathering_test.go
@@ -42,3 +42,21 @@
 		})
 	}
 }
+
+// Guards against less urgent requests that are made to wait although their callers accept hardly more than those of the most urgent ones.
+func TestOnlyMuchLongerObjectivesMakeAClassPatient(t *testing.T) {
+	for _, c := range []struct {
+		other time.Duration
+		want  bool
+	}{{1500, true}, {1000, true}, {999, false}, {600, false}, {500, false}} {
+		known := &Table{Version: 1, Services: []Service{{Name: "s"}}}
+		for priority, objective := range []time.Duration{500, c.other} {
+			known.Routes = append(known.Routes, Route{
+				Name: "r", Host: "h", Prefix: "/" + string(rune('a'+priority)) + "/", Kind: KindStream, Timeout: time.Second, HasPrompt: true, Priority: priority,
+				Objective: objective, MaxEventGap: 400, Targets: []Target{{"s", 1}},
+			})
+		}
+		assert.NilError(t, known.Compile())
+		assert.Equal(t, known.HasPatientClasses("s"), c.want, "%d", c.other)
+	}
+}
--- a/internal/routing/assign/engine_speed.go
+++ b/internal/routing/assign/engine_speed.go
@@ -26,9 +26,10 @@
 	return r.latencyFactor
 }
 
-// sampleSpeed records the time to the first byte of a request of a service that learns the speeds of its engines from all hosts.
+// sampleSpeed records the time to the first byte of a request of a service that learns the speeds of its engines from all hosts. Services with admission by
+// class don't: in an overload their waits, which hosts know late, were taken for speeds and sent requests from one full engine to the next.
 func (a *Assigner) sampleSpeed(now unit.Moment, f *Attempt, ratio float64) {
-	if f.work.Gathering == table.GatherNone {
+	if f.work.Gathering == table.GatherNone || f.work.hasRoomLimits() {
 		return
 	}
 	if a.speedSamples[f.replica.ID] == nil {
--- a/internal/routing/streamgroup/group.go
+++ b/internal/routing/streamgroup/group.go
@@ -20,9 +20,6 @@
 	fillShare = 0.12
 	// maxShare is the largest share of a service's engines that form the group. The others keep the cached parts of large prompts.
 	maxShare = 0.22
-	// Above overloadShare of the slots of the largest group, no group is formed: its engines would have to turn streams away while others have
-	// room. It is formed again below reformShare of that, when a smaller one would have been enough for shrinkDelay.
-	overloadShare, reformShare = 0.6, 0.7
 	// minEngines is the number of usable engines below which no group is formed: it would take too much of the caches.
 	minEngines = 10
 	// loadTime is the time constant with which the number of long streams is averaged.
@@ -45,8 +42,6 @@
 	updatedAt unit.Moment
 	size      int
 	enoughAt  unit.Moment // since when a smaller group has been enough, 0 if it isn't
-	overload  bool        // there are more streams than the largest group can take
-	calmAt    unit.Moment // since when there have been so few streams that a group can be formed again, 0 if there aren't
 	members   map[unit.EndpointID]struct{}
 }
 
@@ -76,11 +71,6 @@
 		return
 	}
 	perEngine := fillShare * float64(slots) / float64(len(usable))
-	g.checkOverload(now, overloadShare*maxShare*float64(slots))
-	if g.overload {
-		g.size, g.enoughAt = 0, 0
-		return
-	}
 	wanted := 0
 	if g.streams >= 1 {
 		wanted = min(int(math.Ceil(g.streams/perEngine)), int(maxShare*float64(len(usable))))
@@ -94,20 +84,6 @@
 	}
 }
 
-// checkOverload decides whether there are more streams than a group can take. It starts at once and ends when there have been clearly fewer for a while.
-func (g *Group) checkOverload(now unit.Moment, most float64) {
-	switch {
-	case g.streams > most:
-		g.overload, g.calmAt = true, 0
-	case !g.overload || g.streams > reformShare*most:
-		g.calmAt = 0
-	case g.calmAt == 0:
-		g.calmAt = now
-	case now.Sub(g.calmAt) >= shrinkDelay:
-		g.overload, g.calmAt = false, 0
-	}
-}
-
 func (g *Group) resize(now unit.Moment, wanted int) {
 	switch {
 	case wanted >= g.size:
