--- a/internal/routing/assign/attempt.go
+++ b/internal/routing/assign/attempt.go
@@ -59,7 +59,7 @@
 	f.answering = true
 	a.heard(now, f.replica)
 	if f.work.HasPrompt {
-		a.learnFirstByte(now, f, now.Sub(f.sentAt))
+		a.learnFirstByte(f, now.Sub(f.sentAt))
 	}
 	read := Load{PendingPrefill: f.load.PendingPrefill}
 	f.load.PendingPrefill = 0
@@ -84,12 +84,11 @@
 	return serviceStat{latencyFactor: 1, meanDuration: defaultDuration}
 }
 
-func (a *Assigner) learnFirstByte(now unit.Moment, f *Attempt, observed time.Duration) {
+func (a *Assigner) learnFirstByte(f *Attempt, observed time.Duration) {
 	if f.expected <= 0 {
 		return
 	}
 	ratio := min(max(float64(observed)/float64(f.expected), 1/maxSampleRatio), maxSampleRatio)
-	a.sampleSpeed(now, f, ratio)
 	f.replica.latencyFactor = min(max(f.replica.latencyFactor*math.Pow(ratio, replicaLearningRate), minLatencyFactor), maxLatencyFactor)
 	key := f.work.statKey()
 	stat := a.serviceStat(key)
