Read the rest of a refused large body before its answer

Change: up to 8 MiB of such a body are discarded for at most a second before the answer, without taking memory. Measured: TestAClientThatSendsTooMuchGetsItsAnswer: broken pipe before, passes now; tests of bodymemory and forward pass.

--- a/internal/callers/bodymemory/body.go
+++ b/internal/callers/bodymemory/body.go
@@ -18,6 +18,13 @@
 // firstBytes is the size of the first piece of memory for a body. Most bodies are smaller.
 const firstBytes = 16 << 10
 
+const (
+	// serverDrainBytes is the size up to which net/http reads the rest of a body before it answers.
+	serverDrainBytes = 256 << 10
+	// maxDrainBytes bounds what is read of a larger one: the largest body that routing tables allow by default, and as much again.
+	maxDrainBytes = 8 << 20
+)
+
 // body is the body of one request.
 type body struct {
 	io.ReadCloser
@@ -59,15 +66,25 @@
 	return n, err
 }
 
-// end returns the memory. The rest of a body that wasn't read must arrive soon.
+// end returns the memory. The rest of a body that wasn't read must arrive soon. The server itself reads the rest of small bodies only; a client
+// that is still sending a larger one would get a reset of its connection instead of the answer.
 func (d *body) end() {
+	if d.close() && (d.length < 0 || d.length > serverDrainBytes) && d.setReadDeadline(time.Now().Add(drainTimeout)) == nil {
+		_, _ = io.CopyN(io.Discard, d.ReadCloser, maxDrainBytes) // an error ends the connection
+	}
+}
+
+// close returns the memory, and reports whether a part of the body may still arrive.
+func (d *body) close() (unread bool) {
 	d.budget.mu.Lock()
 	defer d.budget.mu.Unlock()
 	delete(d.budget.reading, d)
 	d.share.Close()
-	if !d.arrived && d.givenUp == nil {
-		d.setReadDeadline(time.Now().Add(drainTimeout))
+	if d.arrived || d.givenUp != nil {
+		return false
 	}
+	_ = d.setReadDeadline(time.Now().Add(drainTimeout))
+	return true
 }
 
 // grow takes memory for more bytes. It fails with fault.Overloaded or with the reason for which the body was given up.
@@ -119,14 +136,13 @@
 	d.givenUp = reason
 	delete(d.budget.reading, d)
 	d.share.Close()
-	d.setReadDeadline(time.Unix(1, 0))
+	_ = d.setReadDeadline(time.Unix(1, 0))
 }
 
 // setReadDeadline sets the deadline for reading from the connection. The server removes it at the end of the body. The handler must not
-// have returned.
-func (d *body) setReadDeadline(at time.Time) {
-	// Fails only for connections without deadlines, which tests use.
-	_ = http.NewResponseController(d.w).SetReadDeadline(at)
+// have returned. It fails only for connections without deadlines, which tests use.
+func (d *body) setReadDeadline(at time.Time) error {
+	return http.NewResponseController(d.w).SetReadDeadline(at)
 }
 
 // ReadAll reads the whole body of a request, at most limit bytes. It takes memory as the body arrives if the request came through
