Tests: hold endless answers back until all callers have asked

Cause: TestOneEndpointDoesNotUseUpTheMemoryForAnswers waits until 40 requests have reached the endpoint. The endpoint answered the first ones at once, 24 of them broke off for lack of memory within a millisecond, and a host that had seen several broken answers ejected the endpoint before the last callers had chosen it.

Change: the endpoint sends its answers when all 40 requests have reached it. The checks are the same.

--- a/internal/callers/forward/endless_test.go
+++ b/internal/callers/forward/endless_test.go
@@ -28,6 +28,7 @@
 type endlessOutput struct {
 	beginning, repeated string
 	pause               time.Duration // between two repetitions
+	begin               chan struct{} // closed when answers may begin, nil if they begin at once
 }
 
 // maxEndlessOutput and maxEndlessTime are the number of bytes and the time after which an endpoint's output counts as accepted without end.
@@ -47,6 +48,9 @@
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
 		asked <- struct{}{}
+		if output.begin != nil {
+			<-output.begin
+		}
 		_, err = io.WriteString(socket, strings.ReplaceAll(output.beginning, "ID", r.Header.Get("Id")))
 		began := time.Now()
 		for sent := 0; err == nil && (output.pause == 0 || timer.Sleep(t.Context(), output.pause)); sent += len(output.repeated) {
@@ -86,33 +90,33 @@
 		answered  bool // the endless endpoint's own answer is complete
 		elsewhere bool // the endless endpoint says that it did not run the request, so the other one may run it
 	}{
-		{name: "no answer", endlessOutput: endlessOutput{"", long, 0}},
-		{name: "no answer, slowly", endlessOutput: endlessOutput{"", "x", slow}},
-		{name: "a line of the head", endlessOutput: endlessOutput{ok + "X: ", long, 0}},
-		{name: "a line of the head, slowly", endlessOutput: endlessOutput{ok + "X: ", "x", slow}},
-		{name: "lines of the head", endlessOutput: endlessOutput{ok, "X: " + line, 0}},
-		{name: "lines of the head, slowly", endlessOutput: endlessOutput{ok, "X: y\r\n", slow}},
-		{name: "interim answers", endlessOutput: endlessOutput{"", "HTTP/1.1 100 Continue\r\n\r\n", 0}},
-		{name: "interim answers, slowly", endlessOutput: endlessOutput{"", "HTTP/1.1 100 Continue\r\n\r\n", 10 * slow}},
-		{name: "answers to others", endlessOutput: endlessOutput{"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", 0}},
-		{name: "the body of an answer to another", endlessOutput: endlessOutput{"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", long, 0}},
-		{name: "the body of an answer to another, slowly", endlessOutput: endlessOutput{"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", slow}},
-		{name: "a body without a length", endlessOutput: endlessOutput{ok + "\r\n", long, 0}},
-		{name: "a body without a length, slowly", endlessOutput: endlessOutput{ok + "\r\n", "x", slow}},
-		{name: "a body of a great length", endlessOutput: endlessOutput{ok + "Content-Length: 1099511627776\r\n\r\n", long, 0}},
-		{name: "chunks", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", chunk, 0}},
-		{name: "chunks, slowly", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", slow}},
-		{name: "the size of a chunk", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", "0", 0}},
-		{name: "the trailer of chunks", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + line, 0}},
-		{name: "after a refusal's head", endlessOutput: endlessOutput{"HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\n\r\n", long, 0}, elsewhere: true},
-		{name: "after a refusal's head, slowly", endlessOutput: endlessOutput{"HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\n\r\n", "x", slow}, elsewhere: true},
-		{name: "after an answer", endlessOutput: endlessOutput{ok + "Content-Length: 4\r\n\r\ndone", long, 0}, answered: true},
-		{name: "after an answer, slowly", endlessOutput: endlessOutput{ok + "Content-Length: 4\r\n\r\ndone", "x", slow}, answered: true},
-		{name: "a line of a stream", endlessOutput: endlessOutput{ok + "\r\n", long, 0}, stream: true},
-		{name: "a line of a stream, slowly", endlessOutput: endlessOutput{ok + "\r\n", "x", slow}, stream: true},
-		{name: "a line of a stream after an event", endlessOutput: endlessOutput{ok + "\r\nid: 1\ndata: a\n\ndata: ", long, 0}, stream: true},
-		{name: "lines of a stream that are none of an event", endlessOutput: endlessOutput{ok + "\r\n", "\x01\x02\x03 <>\n\n", 0}, stream: true},
-		{name: "an event of a stream", endlessOutput: endlessOutput{ok + "\r\n", "data: " + line, 0}, stream: true},
+		{name: "no answer", endlessOutput: endlessOutput{"", long, 0, nil}},
+		{name: "no answer, slowly", endlessOutput: endlessOutput{"", "x", slow, nil}},
+		{name: "a line of the head", endlessOutput: endlessOutput{ok + "X: ", long, 0, nil}},
+		{name: "a line of the head, slowly", endlessOutput: endlessOutput{ok + "X: ", "x", slow, nil}},
+		{name: "lines of the head", endlessOutput: endlessOutput{ok, "X: " + line, 0, nil}},
+		{name: "lines of the head, slowly", endlessOutput: endlessOutput{ok, "X: y\r\n", slow, nil}},
+		{name: "interim answers", endlessOutput: endlessOutput{"", "HTTP/1.1 100 Continue\r\n\r\n", 0, nil}},
+		{name: "interim answers, slowly", endlessOutput: endlessOutput{"", "HTTP/1.1 100 Continue\r\n\r\n", 10 * slow, nil}},
+		{name: "answers to others", endlessOutput: endlessOutput{"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n", 0, nil}},
+		{name: "the body of an answer to another", endlessOutput: endlessOutput{"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", long, 0, nil}},
+		{name: "the body of an answer to another, slowly", endlessOutput: endlessOutput{"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "x", slow, nil}},
+		{name: "a body without a length", endlessOutput: endlessOutput{ok + "\r\n", long, 0, nil}},
+		{name: "a body without a length, slowly", endlessOutput: endlessOutput{ok + "\r\n", "x", slow, nil}},
+		{name: "a body of a great length", endlessOutput: endlessOutput{ok + "Content-Length: 1099511627776\r\n\r\n", long, 0, nil}},
+		{name: "chunks", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", chunk, 0, nil}},
+		{name: "chunks, slowly", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", slow, nil}},
+		{name: "the size of a chunk", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n", "0", 0, nil}},
+		{name: "the trailer of chunks", endlessOutput: endlessOutput{ok + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "X: " + line, 0, nil}},
+		{name: "after a refusal's head", endlessOutput: endlessOutput{"HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\n\r\n", long, 0, nil}, elsewhere: true},
+		{name: "after a refusal's head, slowly", endlessOutput: endlessOutput{"HTTP/1.1 503 Full\r\nId: ID\r\nNot-Run: 1\r\n\r\n", "x", slow, nil}, elsewhere: true},
+		{name: "after an answer", endlessOutput: endlessOutput{ok + "Content-Length: 4\r\n\r\ndone", long, 0, nil}, answered: true},
+		{name: "after an answer, slowly", endlessOutput: endlessOutput{ok + "Content-Length: 4\r\n\r\ndone", "x", slow, nil}, answered: true},
+		{name: "a line of a stream", endlessOutput: endlessOutput{ok + "\r\n", long, 0, nil}, stream: true},
+		{name: "a line of a stream, slowly", endlessOutput: endlessOutput{ok + "\r\n", "x", slow, nil}, stream: true},
+		{name: "a line of a stream after an event", endlessOutput: endlessOutput{ok + "\r\nid: 1\ndata: a\n\ndata: ", long, 0, nil}, stream: true},
+		{name: "lines of a stream that are none of an event", endlessOutput: endlessOutput{ok + "\r\n", "\x01\x02\x03 <>\n\n", 0, nil}, stream: true},
+		{name: "an event of a stream", endlessOutput: endlessOutput{ok + "\r\n", "data: " + line, 0, nil}, stream: true},
 	}
 	for _, c := range cases {
 		for _, repeatable := range []bool{true, false} {
@@ -198,7 +202,9 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	defer listener.Close()
-	asked, closed := serveEndless(t, listener, endlessOutput{beginning: beginning, repeated: "x", pause: 20 * time.Millisecond})
+	// The endpoint must not be ejected for the first answers that break off before the last caller's request has reached it.
+	output := endlessOutput{beginning: beginning, repeated: "x", pause: 20 * time.Millisecond, begin: make(chan struct{})}
+	asked, closed := serveEndless(t, listener, output)
 	sound := newFakeEndpoint(t, func() string { return success })
 	h := newTestHandler(t)
 	h.Connections = func(*table.Service) int { return callers }
@@ -226,6 +232,7 @@
 	for range callers {
 		<-asked
 	}
+	close(output.begin)
 	for h.memory.Used() < memory/2 || len(failed) < callers-memory/initialBufferBytes {
 		runtime.Gosched()
 	}
