Limits: short messages keep control traffic within its bound

A control host resolves short keys with its table; amounts of customers that share one are asked for again with full keys. Short reports are sent only after a short answer, and are acknowledged only by one, so that a control host of the build before loses nothing. Levels are paced to what the reports leave.

TestEveryTightBucketIsTold counts whole encoded answers against the same bound, since levels are no longer in one field. The state machine has hosts of the build before and a customer with the same short key; the simulation has a case of two builds. The model's customer is renamed to one that has such a twin.

--- a/internal/admission/usage/cost_test.go
+++ b/internal/admission/usage/cost_test.go
@@ -45,6 +45,7 @@
 				limits[name(i)] = limit
 			}
 			l, m, other := NewLedger(), NewMeter(1<<31, rand.Float64), NewMeter(1<<30, rand.Float64)
+			m.number, m.acked = 1<<20, 1<<20 // numbers have their full size after an hour
 			l.SetLimits(now, limits)
 			now = now.Add(time.Second) // the buckets are full
 			other.Accept(now, other.Report(now), Levels{Hosts: 1, Covered: 1, Known: true})
@@ -70,8 +71,9 @@
 			assert.Assert(t, (reports+answers)/seconds <= maxTrafficPerHost, "%d bytes/s", (reports+answers)/seconds)
 		})
 	}
-	t.Logf("an amount has %d bytes, a level %d, a host %d", encodedSize(t, Amount{Customer: 1 << 63, Others: 40_000_000, Admitted: 40_000_000}),
-		encodedSize(t, Level{Customer: 1 << 63, Level: -40_000, Offered: 900_000, Admitted: 900_000}), encodedSize(t, hostKey(1<<31)))
+	amount, level := Amount{Customer: 1 << 63, Others: 40_000_000, Admitted: 40_000_000}, Level{Customer: 1 << 63, Level: -40_000, Offered: 900_000, Admitted: 900_000}
+	t.Logf("an amount has %d bytes, a level %d, a host %d", encodedSize(t, amount), encodedSize(t, level), encodedSize(t, hostKey(1<<31)))
+	t.Logf("with a short key an amount has %d bytes, a level %d", len(appendShortAmount(nil, amount)), len(appendShortLevel(nil, level)))
 }
 
 // Measures a decision on a host that has the customers of its last ten seconds.
--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/list"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
@@ -22,11 +23,21 @@
 	// hostsInterval is the time between two updates that list the entry hosts.
 	hostsInterval = 400 * time.Millisecond
 	// Levels are sent of buckets below tightShare of their capacity, at most maxLevels at once, and as many as levelBytesPerSecond per host allow. If
-	// there are more, those that haven't been sent for the longest time come first. levelBytes is the size of one level.
+	// there are more, those that haven't been sent for the longest time come first. levelBytes is the size of one level, shortLevelBytes that of one
+	// with a short key.
 	tightShare          = 0.75
 	maxLevels           = 48
 	levelBytes          = 23
+	shortLevelBytes     = 14
 	levelBytesPerSecond = 600
+	// Short reports and their answers together are kept within trafficBytesPerSecond, which with the first answers is less than 1,000 bytes per second;
+	// levels get at least minLevelBytesPerSecond of it. reportBytes and answerBytes are the sizes without amounts and levels, amountBytes that of an
+	// amount with a full key.
+	trafficBytesPerSecond  = 880
+	minLevelBytesPerSecond = 200
+	reportBytes            = 15
+	answerBytes            = 4
+	amountBytes            = 14
 	// maxDebtTime bounds the debt of a bucket: it is paid within that time, plus the time that two bursts take. It only has to cover what
 	// the hosts admit before they hear of an overload.
 	maxDebtTime = 2 * time.Second
@@ -39,8 +50,10 @@
 type Ledger struct {
 	limits   map[Key]usagelimit.Limit
 	accounts map[Key]*account
-	changes  *list.List // of Key, the last changed first
-	number   uint64     // of the last change
+	shorts   map[shortKey]Key      // of the accounts
+	unclear  map[shortKey]struct{} // that belong to several accounts
+	changes  *list.List            // of Key, the last changed first
+	number   uint64                // of the last change
 	tight    map[Key]struct{}
 	sessions map[unit.HostName]*session
 	peers    map[unit.HostName]*peerCounters
@@ -72,6 +85,9 @@
 	// told is when the level of each bucket was last sent, 0 if it has to be sent again. lastTold are those in the last answer.
 	told     map[Key]unit.Moment
 	lastTold []Key
+	short    bool       // the last report is a short one
+	unclear  []shortKey // in the last report
+	received int        // bytes of reports since the last answer
 	// The numbers of hosts in the last answers, 0 if they have to be sent again.
 	toldHosts, toldCovered int
 }
@@ -116,6 +132,18 @@
 		l.charge(now, key, a, 0, 0)
 	}
 	l.configured = true
+	l.indexShortKeys()
+}
+
+// indexShortKeys notes to which customer each short key belongs.
+func (l *Ledger) indexShortKeys() {
+	l.shorts, l.unclear = make(map[shortKey]Key, len(l.accounts)), map[shortKey]struct{}{}
+	for key := range l.accounts {
+		if _, taken := l.shorts[key.short()]; taken {
+			l.unclear[key.short()] = struct{}{}
+		}
+		l.shorts[key.short()] = key
+	}
 }
 
 // fill adds what the limit has allowed since the last call.
@@ -143,32 +171,52 @@
 // Receive counts an entry host's report.
 func (l *Ledger) Receive(now unit.Moment, host unit.HostName, r Report) {
 	l.hosts[hostKeyOf(host)] = now
-	s := l.sessions[host]
+	s, after := l.sessions[host], r.After
+	short, isShort := decodeShortReport(r.Short)
+	if isShort = isShort && short.unacknowledged <= r.Number; isShort {
+		after = r.Number - short.unacknowledged
+	} else {
+		short.amounts = nil
+	}
 	switch {
 	case s == nil || s.id != r.Session:
-		s = &session{id: r.Session, after: r.After, applied: map[Key]Amount{}, told: map[Key]unit.Moment{}, credit: maxLevels * levelBytes}
+		s = &session{id: r.Session, after: after, applied: map[Key]Amount{}, told: map[Key]unit.Moment{}, credit: maxLevels * shortLevelBytes}
 		l.sessions[host] = s
-	case r.Number <= s.number || r.After < s.after:
+	case r.Number <= s.number || after < s.after:
 		return // repeated or overtaken
-	case r.After > s.after:
-		s.after = r.After
+	case after > s.after:
+		s.after = after
 		clear(s.applied)
 	}
-	if r.After < s.number { // the last answer was lost, or this is the first report
+	if after < s.number { // the last answer was lost, or this is the first report
 		for _, key := range s.lastTold {
 			s.told[key] = 0
 		}
 		s.toldHosts = 0
 	}
 	s.lastTold = s.lastTold[:0]
-	s.number, s.heardAt = r.Number, now
+	s.number, s.heardAt, s.short, s.unclear = r.Number, now, isShort, nil
+	s.received += reportBytes + len(r.Short) + len(r.Amounts)*amountBytes
 	for _, amount := range r.Amounts {
-		before := s.applied[amount.Customer]
-		s.applied[amount.Customer] = amount
-		l.count(now, amount.Customer, amount.offered()-before.offered(), amount.Admitted-before.Admitted)
+		l.apply(now, s, amount)
+	}
+	for _, a := range short.amounts {
+		key, known := l.shorts[a.customer]
+		if _, unclear := l.unclear[a.customer]; unclear {
+			s.unclear = append(s.unclear, a.customer)
+		} else if known {
+			l.apply(now, s, Amount{Customer: key, Admitted: a.admitted, Others: a.others})
+		}
 	}
 }
 
+// apply counts what an amount in a report says beyond the reports before it.
+func (l *Ledger) apply(now unit.Moment, s *session, amount Amount) {
+	before := s.applied[amount.Customer]
+	s.applied[amount.Customer] = amount
+	l.count(now, amount.Customer, amount.offered()-before.offered(), amount.Admitted-before.Admitted)
+}
+
 // count adds what was used through this control host.
 func (l *Ledger) count(now unit.Moment, key Key, offered, admitted int64) {
 	if offered == 0 && admitted == 0 {
@@ -291,8 +339,7 @@
 	if hosts, covered := len(l.hosts), int(l.share*float64(len(l.hosts))+0.5); hosts != s.toldHosts || covered != s.toldCovered {
 		answer.Hosts, answer.Covered, s.toldHosts, s.toldCovered = hosts, covered, hosts, covered
 	}
-	s.credit = min(s.credit+levelBytesPerSecond*now.Sub(s.levelsAt).Seconds(), maxLevels*levelBytes)
-	s.levelsAt = now
+	size := s.addCredit(now)
 	for key := range l.tight {
 		a, limit := l.accounts[key], l.limits[key]
 		a.fill(now, limit, l.share)
@@ -300,34 +347,62 @@
 			delete(l.tight, key)
 		}
 	}
-	keys := l.keysToTell(s)
-	answer.Known = len(keys)*levelBytes <= int(s.credit)
-	if answer.Known {
+	keys := l.keysToTell(s, size)
+	known := len(keys)*size <= int(s.credit)
+	if known {
 		clear(s.told)
 	} else {
-		keys = keys[:int(s.credit/levelBytes)]
+		keys = keys[:max(0, int(s.credit)/size)]
+	}
+	if s.short {
+		answer.Short, answer.Unclear = binary.AppendUvarint(nil, 0), s.unclear
+		if known {
+			answer.Short[0] = 1
+		}
+	} else {
+		answer.Known = known
 	}
 	for _, key := range keys {
-		if _, tight := l.tight[key]; !tight {
-			if !answer.Known {
-				answer.Levels = append(answer.Levels, Level{Customer: key, Level: fullLevel})
+		level := Level{Customer: key, Level: fullLevel}
+		if _, tight := l.tight[key]; tight {
+			a := l.accounts[key]
+			s.told[key] = now
+			level = Level{
+				Customer: key, Level: int64(math.Floor(a.level)), Offered: uint64(a.offered.perSecond(now)), Admitted: uint64(a.admitted.perSecond(now)),
 			}
+		} else {
 			delete(s.told, key)
-			continue
+			if known {
+				continue
+			}
+		}
+		if _, unclear := l.unclear[key.short()]; s.short && !unclear {
+			answer.Short = appendShortLevel(answer.Short, level)
+		} else {
+			answer.Levels = append(answer.Levels, level)
 		}
-		a := l.accounts[key]
-		s.told[key] = now
-		answer.Levels = append(answer.Levels, Level{
-			Customer: key, Level: int64(math.Floor(a.level)), Offered: uint64(a.offered.perSecond(now)), Admitted: uint64(a.admitted.perSecond(now)),
-		})
 	}
 	s.lastTold = append(s.lastTold, keys...)
-	s.credit -= float64(levelBytes * len(answer.Levels))
+	s.credit -= float64(levelBytes*len(answer.Levels) + max(0, len(answer.Short)-1))
 	return answer
 }
 
+// addCredit allows for the levels in the next answer. It returns the size of one level.
+func (s *session) addCredit(now unit.Moment) (size int) {
+	passed := now.Sub(s.levelsAt).Seconds()
+	size, gained := levelBytes, levelBytesPerSecond*passed
+	if s.short {
+		size = shortLevelBytes
+		left := trafficBytesPerSecond*passed - float64(s.received+answerBytes)
+		gained = min(gained, max(left, minLevelBytesPerSecond*passed))
+	}
+	s.credit = min(s.credit+gained, float64(maxLevels*size))
+	s.levelsAt, s.received = now, 0
+	return size
+}
+
 // keysToTell returns the tight buckets and those that a host takes for tight, the one whose level was sent the longest ago first.
-func (l *Ledger) keysToTell(s *session) []Key {
+func (l *Ledger) keysToTell(s *session, size int) []Key {
 	keys := make([]Key, 0, len(l.tight))
 	for key := range l.tight {
 		keys = append(keys, key)
@@ -337,7 +412,7 @@
 			keys = append(keys, key)
 		}
 	}
-	if len(keys)*levelBytes > int(s.credit) {
+	if len(keys)*size > int(s.credit) {
 		slices.SortFunc(keys, func(a, b Key) int { return cmp.Or(cmp.Compare(s.told[a], s.told[b]), cmp.Compare(a, b)) })
 	}
 	return keys
--- a/internal/admission/usage/ledger_test.go
+++ b/internal/admission/usage/ledger_test.go
@@ -31,7 +31,7 @@
 		if !lost {
 			m.Accept(now, r, levels)
 		}
-		return len(levels.Levels) * levelBytes
+		return encodedSize(t, levels)
 	}
 	sync("h2", other, false)
 	for id, limit := range limits {
@@ -43,7 +43,7 @@
 		now = now.Add(syncInterval)
 		bytes += sync("h1", m, i%5 == 0)
 	}
-	assert.Assert(t, bytes <= 10*levelBytesPerSecond+maxLevels*levelBytes, "%d bytes of levels in 10 s", bytes)
+	assert.Assert(t, bytes <= 10*levelBytesPerSecond+maxLevels*levelBytes, "%d bytes of answers in 10 s", bytes)
 	for id, limit := range limits {
 		assert.Assert(t, !m.Take(now, id, limit, 1).Admitted, "customer %s", id)
 	}
--- a/internal/admission/usage/machine_test.go
+++ b/internal/admission/usage/machine_test.go
@@ -23,8 +23,10 @@
 type machine struct {
 	now      unit.Moment
 	limit    usagelimit.Limit
+	twin     bool // a customer with the same short key has a limit, too
 	sessions uint64
 	meters   [machineMeters]*Meter
+	before   [machineMeters]bool // the meter's host runs the build before short messages
 	ledgers  [machineLedgers]*machineLedger
 	messages []func()
 	admitted []admittedRequest
@@ -41,6 +43,7 @@
 // machineLedger is a control host from its start on.
 type machineLedger struct {
 	*Ledger
+	before      bool // it runs the build before short messages
 	epoch       unit.Incarnation
 	acked       uint64 // of this ledger's counters, by the other ledger in its incarnation ackedBy
 	ackedBy     unit.Incarnation
@@ -85,7 +88,21 @@
 	}
 	m.sessions++
 	m.ledgers[i] = &machineLedger{Ledger: NewLedger(), epoch: unit.Incarnation(m.sessions)}
-	m.ledgers[i].SetLimits(m.now, map[unit.CustomerID]usagelimit.Limit{modelCustomer: m.limit})
+	m.setLimits(m.ledgers[i])
+}
+
+func (m *machine) setLimits(l *machineLedger) {
+	limits := map[unit.CustomerID]usagelimit.Limit{modelCustomer: m.limit}
+	if m.twin {
+		limits[modelTwin] = m.limit
+	}
+	l.SetLimits(m.now, limits)
+}
+
+// forBuildBefore returns what a build before short messages reads of a report, or sends.
+func forBuildBefore(r Report) Report {
+	r.Short = nil
+	return r
 }
 
 func ledgerName(i int) unit.HostName { return unit.HostName(fmt.Sprint("c", i)) }
@@ -113,8 +130,14 @@
 func (m *machine) sync(meter, ledger int) {
 	sender, sentAt := m.meters[meter], m.now
 	report := sender.Report(m.now)
+	if m.before[meter] {
+		report = forBuildBefore(report)
+	}
 	m.messages = append(m.messages, func() {
 		l, name := m.ledgers[ledger], unit.HostName(fmt.Sprint("h", meter))
+		if l.before {
+			report = forBuildBefore(report)
+		}
 		l.Receive(m.now, name, report)
 		levels := l.Levels(m.now, name)
 		m.messages = append(m.messages, func() { sender.Accept(sentAt, report, levels) })
@@ -185,7 +208,7 @@
 }
 
 // Guards against use that the account forgets when messages are late, lost, repeated or reordered, or when hosts restart: a customer would get
-// more than its limit. Only what a host hadn't passed on when it restarted may be missing.
+// more than its limit, also beside hosts of the build before and with a customer of the same short key. Only what a host hadn't passed on when it restarted may be missing.
 func TestTheAccountForgetsNothing(t *testing.T) {
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
@@ -227,12 +250,21 @@
 					m.messages = m.messages[1:]
 				}
 			},
-			"restart meter":  func(*rapid.T) { m.startMeter(draw("meter", machineMeters)) },
-			"restart ledger": func(*rapid.T) { m.startLedger(draw("ledger", machineLedgers)) },
+			"restart meter": func(*rapid.T) {
+				i := draw("meter", machineMeters)
+				m.startMeter(i)
+				m.before[i] = draw("build", 3) == 0
+			},
+			"restart ledger": func(*rapid.T) {
+				i := draw("ledger", machineLedgers)
+				m.startLedger(i)
+				m.ledgers[i].before = draw("build", 3) == 0
+			},
 			"change limit": func(*rapid.T) {
 				m.limit.PerSecond = 1e-6 * float64(1+draw("rate", 5))
+				m.twin = draw("twin", 2) == 0
 				for _, l := range m.ledgers {
-					l.SetLimits(m.now, map[unit.CustomerID]usagelimit.Limit{modelCustomer: m.limit})
+					m.setLimits(l)
 				}
 			},
 		})
--- a/internal/admission/usage/message.go
+++ b/internal/admission/usage/message.go
@@ -48,6 +48,9 @@
 	Number  uint64   `cbor:"2,keyasint"`
 	After   uint64   `cbor:"3,keyasint,omitempty"`
 	Amounts []Amount `cbor:"4,keyasint,omitempty"`
+	// Short is set by meters that understand short answers. It holds Number - After, and amounts with short keys. Once a control host has answered with
+	// Levels.Short, After is left out, and Amounts holds only those whose short keys were unclear to it.
+	Short []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // Level is the state of one customer's bucket. The rates are per second, over all hosts together.
@@ -71,6 +74,11 @@
 	// Known is set if Levels holds all buckets that aren't nearly full. Without it the meter keeps the other levels that it has.
 	Known  bool    `cbor:"3,keyasint,omitempty"`
 	Levels []Level `cbor:"4,keyasint,omitempty"`
+	// Short answers a report with Report.Short and says that it was read. It holds Known and the levels of customers that share their short keys with
+	// no other one; Levels holds those of the others.
+	Short []byte `cbor:"5,keyasint,omitempty"`
+	// Unclear are short keys in the report that belong to several customers. Their amounts weren't counted and have to be sent with full keys.
+	Unclear []shortKey `cbor:"6,keyasint,omitempty"`
 }
 
 // Update is what a control host tells another one: its counters that have changed after a number that the reader has read.
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -1,6 +1,8 @@
 package usage
 
 import (
+	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -49,6 +51,18 @@
 	hosts     int
 	covered   int
 	customers map[Key]*customer
+	sent      []Amount // in the last report
+	sentShort bool     // the last report has amounts with short keys
+	short     bool     // the control host of the last answer reads short reports
+	// levels and shortLevels are the levels as told last, of buckets that aren't nearly full.
+	levels      map[Key]toldLevel
+	shortLevels map[shortKey]toldLevel
+}
+
+// toldLevel is what a control host has told of a bucket.
+type toldLevel struct {
+	level, offered, admitted float64
+	at                       unit.Moment
 }
 
 // customer is the use of one customer on this host.
@@ -58,8 +72,7 @@
 	returned                    int64 // negative net amount of the last report, else 0
 	offeredRate, admittedRate   rate
 	usedAt                      unit.Moment
-	level                       *Level // as told last, nil while the bucket is nearly full
-	levelAt                     unit.Moment
+	fullKey                     bool    // another customer has the same short key
 	ownLevel                    float64 // of the bucket for the own share
 	ownAt                       unit.Moment
 }
@@ -67,7 +80,9 @@
 // NewMeter returns the meter of one host. The session is a random number that differs between the runs of a host; below 2^32 it takes four bytes less in
 // each report.
 func NewMeter(session uint64, draw func() float64) *Meter {
-	return &Meter{draw: draw, session: session, customers: map[Key]*customer{}}
+	return &Meter{
+		draw: draw, session: session, customers: map[Key]*customer{}, levels: map[Key]toldLevel{}, shortLevels: map[shortKey]toldLevel{},
+	}
 }
 
 // Take decides on a request of the given cost, and counts it.
@@ -84,7 +99,7 @@
 	}
 	c.offered += int64(cost)
 	c.offeredRate.add(now, cost)
-	d := m.decide(now, c, limit)
+	d := m.decide(now, key, c, limit)
 	if d.Admitted {
 		c.admitted += int64(cost)
 		c.admittedRate.add(now, cost)
@@ -92,8 +107,12 @@
 	return d
 }
 
-func (m *Meter) decide(now unit.Moment, c *customer, limit usagelimit.Limit) Decision {
-	d := Decision{Age: now.Sub(m.answerAt), Level: m.estimate(now, c, limit)}
+func (m *Meter) decide(now unit.Moment, key Key, c *customer, limit usagelimit.Limit) Decision {
+	told, tight := m.levelOf(key)
+	d := Decision{Age: now.Sub(m.answerAt), Level: limit.Capacity() - float64(c.admitted-c.ackedAdmitted)}
+	if tight {
+		d.Level = m.estimate(now, told, c, limit)
+	}
 	if d.Level > 0 {
 		d.Admitted = true
 		return d
@@ -101,8 +120,8 @@
 	balance := max(balanceShare*limit.Capacity(), limit.PerSecond*minBalanceTime.Seconds())
 	if left := 2*balance + d.Level; left > 0 {
 		offered := c.offeredRate.perSecond(now)
-		if c.level != nil {
-			offered = max(offered, float64(c.level.Offered))
+		if tight {
+			offered = max(offered, told.offered)
 		}
 		d.Admitted = m.draw()*offered < limit.PerSecond*m.coveredShare()*left/balance
 	}
@@ -112,16 +131,21 @@
 	return d
 }
 
-// estimate returns the level of a customer's bucket now.
-func (m *Meter) estimate(now unit.Moment, c *customer, limit usagelimit.Limit) float64 {
-	unreported := float64(c.admitted - c.ackedAdmitted)
-	if c.level == nil {
-		return limit.Capacity() - unreported
+// levelOf returns the level of a customer's bucket as told last, false while the bucket is nearly full.
+func (m *Meter) levelOf(key Key) (toldLevel, bool) {
+	if told, tight := m.levels[key]; tight {
+		return told, true
 	}
-	others := max(0, float64(c.level.Admitted)-c.admittedRate.perSecond(now))
-	age := now.Sub(c.levelAt)
+	told, tight := m.shortLevels[key.short()]
+	return told, tight
+}
+
+// estimate returns the level of a customer's bucket now.
+func (m *Meter) estimate(now unit.Moment, told toldLevel, c *customer, limit usagelimit.Limit) float64 {
+	others := max(0, told.admitted-c.admittedRate.perSecond(now))
+	age := now.Sub(told.at)
 	gained := limit.PerSecond*m.coveredShare()*age.Seconds() - others*min(age, maxExtrapolation).Seconds()
-	return min(float64(c.level.Level)+gained, limit.Capacity()) - unreported
+	return min(told.level+gained, limit.Capacity()) - float64(c.admitted-c.ackedAdmitted)
 }
 
 func (m *Meter) coveredShare() float64 {
@@ -166,18 +190,29 @@
 func (m *Meter) Report(now unit.Moment) Report {
 	repeated := m.acked != m.number
 	m.number++
-	r := Report{Session: m.session, Number: m.number, After: m.acked}
+	r := Report{Session: m.session, Number: m.number, Short: binary.AppendUvarint(nil, m.number-m.acked)}
+	if !m.short {
+		r.After = m.acked
+	}
+	m.sent, m.sentShort = m.sent[:0], m.short
 	for key, c := range m.customers {
 		if repeated {
 			c.ackedAdmitted += c.returned
 		}
 		c.returned = min(0, c.admitted-c.ackedAdmitted)
-		switch {
-		case c.offered != c.ackedOffered || c.admitted != c.ackedAdmitted:
-			admitted := c.admitted - c.ackedAdmitted
-			r.Amounts = append(r.Amounts, Amount{Customer: key, Admitted: admitted, Others: c.offered - c.ackedOffered - admitted})
-		case now.Sub(c.usedAt) > idleTime && c.level == nil:
-			delete(m.customers, key)
+		if c.offered == c.ackedOffered && c.admitted == c.ackedAdmitted {
+			if now.Sub(c.usedAt) > idleTime {
+				delete(m.customers, key)
+			}
+			continue
+		}
+		admitted := c.admitted - c.ackedAdmitted
+		amount := Amount{Customer: key, Admitted: admitted, Others: c.offered - c.ackedOffered - admitted}
+		m.sent = append(m.sent, amount)
+		if m.short && !c.fullKey {
+			r.Short = appendShortAmount(r.Short, amount)
+		} else {
+			r.Amounts = append(r.Amounts, amount)
 		}
 	}
 	return r
@@ -189,32 +224,58 @@
 	if r.Number != m.number || r.Number == m.acked {
 		return
 	}
-	m.acked, m.answerAt, m.answered = r.Number, max(m.answerAt, sentAt), true
+	var short shortLevels
+	m.short = len(l.Short) > 0
+	if m.short {
+		var valid bool
+		if short, valid = decodeShortLevels(l.Short); !valid {
+			return
+		}
+	}
+	if m.short || !m.sentShort { // a control host of an older build doesn't read short reports, so that nothing is acknowledged
+		m.acked = r.Number
+		m.acknowledge(l.Unclear)
+	}
+	m.answerAt, m.answered = max(m.answerAt, sentAt), true
 	if l.Hosts > 0 {
 		m.hosts, m.covered = l.Hosts, l.Covered
 	}
-	for _, a := range r.Amounts {
-		if c := m.customers[a.Customer]; c != nil {
-			c.ackedOffered += a.offered()
-			c.ackedAdmitted += a.Admitted
-		}
-	}
-	if l.Known {
-		for _, c := range m.customers {
-			c.level = nil
-		}
+	if l.Known || short.known {
+		clear(m.levels)
+		clear(m.shortLevels)
 	}
 	for _, level := range l.Levels {
-		c := m.customers[level.Customer]
+		delete(m.shortLevels, level.Customer.short())
+		tell(m.levels, level.Customer, sentAt, level.Level, level.Offered, level.Admitted)
+	}
+	for _, level := range short.levels {
+		tell(m.shortLevels, level.customer, sentAt, level.level, level.offered, level.admitted)
+	}
+}
+
+// acknowledge notes that the amounts of the last report were counted, without those with short keys that were unclear.
+func (m *Meter) acknowledge(unclear []shortKey) {
+	for _, a := range m.sent {
+		c := m.customers[a.Customer]
 		if c == nil {
-			c = &customer{usedAt: sentAt}
-			m.customers[level.Customer] = c
+			continue
 		}
-		c.level, c.levelAt = &level, sentAt
-		if level.Level == fullLevel {
-			c.level = nil
+		if m.sentShort && !c.fullKey && slices.Contains(unclear, a.Customer.short()) {
+			c.fullKey = true
+			continue
 		}
+		c.ackedOffered += a.offered()
+		c.ackedAdmitted += a.Admitted
+	}
+}
+
+// tell sets a level, or removes that of a bucket that is nearly full.
+func tell[K comparable](levels map[K]toldLevel, key K, at unit.Moment, level int64, offered, admitted uint64) {
+	if level == fullLevel {
+		delete(levels, key)
+		return
 	}
+	levels[key] = toldLevel{level: float64(level), offered: float64(offered), admitted: float64(admitted), at: at}
 }
 
 // ExpectHosts says how many entry hosts there are, as long as no control host has answered a report. Each of them may admit its part of the limits.
--- a/internal/admission/usage/simulation_test.go
+++ b/internal/admission/usage/simulation_test.go
@@ -55,6 +55,7 @@
 	sentAt  unit.Moment // of the last report
 	down    bool
 	stalled bool // cut off from all control hosts
+	before  bool // runs the build before short messages
 }
 
 type modelLedger struct {
@@ -64,6 +65,7 @@
 	acked  []uint64           // of this one's counters, by each other control host
 	epochs []unit.Incarnation // of the reader that acked
 	down   bool
+	before bool // runs the build before short messages
 }
 
 type delivery struct {
@@ -71,7 +73,8 @@
 	run func()
 }
 
-const modelCustomer = unit.CustomerID("c")
+// Both customers have the same short key.
+const modelCustomer, modelTwin = unit.CustomerID("customer-21702"), unit.CustomerID("customer-59013")
 
 func newModel(seed uint64, hosts int, limit usagelimit.Limit) *model {
 	m := &model{random: rand.New(rand.NewPCG(seed, 1)), limit: limit, reference: limit.Capacity()}
@@ -200,12 +203,18 @@
 	if h.stalled {
 		return
 	}
+	if h.before {
+		report = forBuildBefore(report)
+	}
 	name := h.name
 	m.send(m.delay(h.index, control), func() {
 		l := m.ledgers[control]
 		if l.down {
 			return
 		}
+		if l.before {
+			report = forBuildBefore(report)
+		}
 		l.ledger.Receive(m.now, name, report)
 		levels := l.ledger.Levels(m.now, name)
 		m.send(m.delay(h.index, control), func() {
@@ -378,6 +387,22 @@
 			weights[int(at/(3*time.Second))%hosts] = 1
 			return weights
 		}, minServed: 0.995},
+		{name: "hosts of two builds", rate: func(time.Duration) float64 { return 5 * usual }, prepare: func(m *model) {
+			for i, h := range m.meters {
+				h.before = i%3 == 0
+			}
+			for i, l := range m.ledgers {
+				l.before = i%2 == 0
+			}
+		}, onTick: func(m *model, at time.Duration) {
+			if at%(5*time.Second) == 0 { // some hosts change to a control host of the other build
+				for i, h := range m.meters {
+					if i%2 == 0 {
+						h.control, h.waiting = (h.control+1)%modelControl, false
+					}
+				}
+			}
+		}, minServed: 0.9},
 		{name: "the limit is lowered and raised", rate: func(time.Duration) float64 { return 5 * usual }, limitShare: 0.2, minServed: 0.75},
 	}
 	const length, loweredAt, raisedAt, tablesApplied = 30 * time.Second, 8 * time.Second, 26 * time.Second, time.Second
