Limits: counters of refusals and returns by customer

Cause: only totals existed, which don't tell whose limit refuses requests.

Change: internal/callers/meter counts them by customer. The first 200 customers with such an event get names, apart from the 200 with histograms, so that a customer over its limit isn't hidden by earlier ones within theirs.

Measured: go test ./internal/callers/meter ./internal/callers/forward -count 1 passes.

--- a/internal/callers/forward/usage.go
+++ b/internal/callers/forward/usage.go
@@ -1,18 +1,10 @@
 package forward
 
 import (
-	"github.com/VictoriaMetrics/metrics"
-
 	"github.com/citronglade/citronglade/internal/admission/usage"
 	"github.com/citronglade/citronglade/internal/base/fault"
 )
 
-var (
-	overLimit        = metrics.NewCounter("citronglade_usage_refusals_total")
-	overOwnShare     = metrics.NewCounter("citronglade_usage_refusals_by_own_share_total")
-	returnedRequests = metrics.NewCounter("citronglade_usage_returned_requests_total")
-)
-
 // takeUsage counts the request against its customer's limit. It fails with fault.OverLimit. The host that got a relayed request from its caller
 // has counted it already.
 func (r *request) takeUsage() error {
@@ -31,10 +23,7 @@
 		return nil
 	}
 	r.usageRefusal = &usageRefusal{Decision: d, cost: cost, capacity: limit.Capacity()}
-	overLimit.Inc()
-	if d.OwnShare {
-		overOwnShare.Inc()
-	}
+	r.h.Meter.CountRefusal(r.customer.Name, d.OwnShare)
 	return fault.OverLimit.New("customer %s has reached its limit", r.customer.Name).WithProperty(fault.RetryAfter, d.RetryAfter)
 }
 
@@ -73,7 +62,7 @@
 	now := r.h.Now()
 	r.h.WithUsage(func(m *usage.Meter) { m.GiveBack(now, r.customer.Name, r.usageCost) })
 	r.usageCost = 0
-	returnedRequests.Inc()
+	r.h.Meter.CountReturn(r.customer.Name)
 }
 
 // WithUsage calls use with the meter of the customers' limits, while it holds the meter's lock.
--- a/internal/callers/meter/meter.go
+++ b/internal/callers/meter/meter.go
@@ -1,4 +1,4 @@
-// Package meter counts requests and measures their durations by customer and class. The number of customers with histograms of
+// Package meter counts requests and measures their durations by customer and class. The number of customers with metrics of
 // their own is limited, because a deployment may have 30,000 customers.
 package meter
 
@@ -21,7 +21,8 @@
 	maxCustomers int
 
 	mu        sync.Mutex
-	customers map[unit.CustomerID]bool
+	customers map[unit.CustomerID]bool // with histograms of their own
+	limited   map[unit.CustomerID]bool // with counters of their limits of their own
 }
 
 // Sample is one finished request. Times that don't apply are 0.
@@ -39,14 +40,15 @@
 	Attempts     int
 }
 
-// New returns a meter that gives the first maxCustomers customers histograms of their own.
+// New returns a meter that gives the first maxCustomers customers histograms of their own, and the first maxCustomers with an event of their limits
+// counters of their own.
 func New(set *metrics.Set, maxCustomers int) *Meter {
-	return &Meter{set: set, maxCustomers: maxCustomers, customers: map[unit.CustomerID]bool{}}
+	return &Meter{set: set, maxCustomers: maxCustomers, customers: map[unit.CustomerID]bool{}, limited: map[unit.CustomerID]bool{}}
 }
 
 // Observe adds a finished request to the metrics.
 func (m *Meter) Observe(s Sample) {
-	customer := m.customerLabel(s.Customer)
+	customer := m.label(m.customers, s.Customer)
 	m.set.GetOrCreateCounter(fmt.Sprintf(`citronglade_requests_total{class=%q,target=%q,outcome=%q,code=%q}`,
 		s.Class, s.Target, s.Outcome, s.Code)).Inc()
 	m.set.GetOrCreateHistogram(fmt.Sprintf(`citronglade_request_seconds{tenant=%q,class=%q}`, customer, s.Class)).
@@ -65,14 +67,32 @@
 	}
 }
 
-func (m *Meter) customerLabel(customer unit.CustomerID) string {
+// CountRefusal counts a request that was refused by its customer's limit, ownShare if without contact to a control host.
+func (m *Meter) CountRefusal(customer unit.CustomerID, ownShare bool) {
+	m.countLimited("citronglade_usage_refusals_total", customer)
+	if ownShare {
+		m.countLimited("citronglade_usage_refusals_by_own_share_total", customer)
+	}
+}
+
+// CountReturn counts a request whose cost was returned to its customer.
+func (m *Meter) CountReturn(customer unit.CustomerID) {
+	m.countLimited("citronglade_usage_returned_requests_total", customer)
+}
+
+func (m *Meter) countLimited(name string, customer unit.CustomerID) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`%s{tenant=%q}`, name, m.label(m.limited, customer))).Inc()
+}
+
+// label returns the customer if it is or can be one of those with metrics of their own.
+func (m *Meter) label(own map[unit.CustomerID]bool, customer unit.CustomerID) string {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.customers[customer] {
-		if len(m.customers) >= m.maxCustomers {
+	if !own[customer] {
+		if len(own) >= m.maxCustomers {
 			return otherCustomers
 		}
-		m.customers[customer] = true
+		own[customer] = true
 	}
 	return string(customer)
 }
