Limits: drop accounts of customers without a limit

Cause: control hosts kept the account of each customer that had ever had a limit, and entry hosts kept their customers once no customer had one.

Change: a control host drops an account after 10 min without a limit. Its counters would begin at 0 again with a later limit, and others would take that for returned use; it therefore sends counters of 0, at which the others drop what they have read, and drops the account when all have read that. Entry hosts drop idle customers also while no reports are sent.

TestAccountsAreDroppedWithoutAnyLimit fails if updates end with the last limit.

Tests: the state machine has a step in which limits are lost for 10 min while messages are exchanged in any order; it counts from the new limit on.

--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -60,8 +60,10 @@
 	hosts    map[hostKey]unit.Moment // when each entry host was last heard by this or another control host
 	// hostsSentAt is when the entry hosts were last listed for each control host.
 	hostsSentAt map[unit.HostName]unit.Moment
-	share       float64 // share of the entry hosts that the account covers
-	configured  bool    // limits have been set
+	unlimited   map[Key]unit.Moment             // since when accounts are without a limit
+	readers     map[unit.HostName]counterReader // of the counters
+	share       float64                         // share of the entry hosts that the account covers
+	configured  bool                            // limits have been set
 }
 
 // account is one customer's bucket and this host's counters.
@@ -71,6 +73,7 @@
 	offered, admitted rate
 	own               Amount // counted by this control host since its start
 	changed           uint64 // number of the last change of own
+	restarted         uint64 // number of the change with which own last began again at 0
 	element           *list.Element
 }
 
@@ -106,6 +109,7 @@
 	return &Ledger{
 		limits: map[Key]usagelimit.Limit{}, accounts: map[Key]*account{}, changes: list.New(), tight: map[Key]struct{}{}, sessions: map[unit.HostName]*session{},
 		peers: map[unit.HostName]*peerCounters{}, hosts: map[hostKey]unit.Moment{}, hostsSentAt: map[unit.HostName]unit.Moment{}, share: 1,
+		unlimited: map[Key]unit.Moment{}, readers: map[unit.HostName]counterReader{},
 	}
 }
 
@@ -132,6 +136,7 @@
 		l.charge(now, key, a, 0, 0)
 	}
 	l.configured = true
+	l.noteUnlimited(now)
 	l.indexShortKeys()
 }
 
@@ -228,6 +233,12 @@
 	}
 	a.own.Admitted += admitted
 	a.own.Others += offered - admitted
+	l.noteChange(key, a)
+	l.charge(now, key, a, float64(offered), float64(admitted))
+}
+
+// noteChange numbers a change of an account's own counters.
+func (l *Ledger) noteChange(key Key, a *account) {
 	l.number++
 	a.changed = l.number
 	if a.element == nil {
@@ -235,19 +246,26 @@
 	} else {
 		l.changes.MoveToFront(a.element)
 	}
-	l.charge(now, key, a, float64(offered), float64(admitted))
 }
 
 // Since returns the update for a control host that has read the counters up to a number.
 func (l *Ledger) Since(now unit.Moment, reader unit.HostName, read uint64) Update {
 	u := Update{Number: l.number, After: read}
+	l.readers[reader] = counterReader{askedAt: now, read: read}
 	for e := l.changes.Front(); e != nil; e = e.Next() {
 		key, _ := e.Value.(Key)
 		a := l.accounts[key]
 		if a.changed <= read {
 			break
 		}
-		u.Amounts = append(u.Amounts, a.own)
+		if a.restarted <= read {
+			u.Amounts = append(u.Amounts, a.own)
+			continue
+		}
+		u.Amounts = append(u.Amounts, Amount{Customer: key})
+		if !a.own.isZero() { // is sent once the reader has read that the counters began again
+			u.Number = min(u.Number, a.restarted)
+		}
 	}
 	if now.Sub(l.hostsSentAt[reader]) >= hostsInterval {
 		l.hostsSentAt[reader], u.Listed = now, true
@@ -284,6 +302,10 @@
 	}
 	for _, counters := range u.Amounts {
 		before := p.counters[counters.Customer]
+		if counters.isZero() {
+			delete(p.counters, counters.Customer)
+			continue
+		}
 		p.counters[counters.Customer] = counters
 		a, known := l.accounts[counters.Customer]
 		if !known || first {
--- a/internal/admission/usage/machine_test.go
+++ b/internal/admission/usage/machine_test.go
@@ -79,12 +79,12 @@
 
 func (m *machine) startLedger(i int) {
 	if old, other := m.ledgers[i], m.ledgers[1-i]; old != nil {
-		read := int64(0)
-		if p := other.peers[ledgerName(i)]; p != nil && p.epoch == old.epoch {
+		read, account := int64(0), old.accounts[KeyOf(modelCustomer)]
+		if p := other.peers[ledgerName(i)]; p != nil && p.epoch == old.epoch && p.number >= account.restarted {
 			read = p.counters[KeyOf(modelCustomer)].Admitted
 		}
 		// Requests whose return the ledger had counted as well are lost with it; the return may be reported again.
-		other.lost += max(0, old.accounts[KeyOf(modelCustomer)].own.Admitted-read) + m.returned()
+		other.lost += max(0, account.own.Admitted-read) + m.returned()
 	}
 	m.sessions++
 	m.ledgers[i] = &machineLedger{Ledger: NewLedger(), epoch: unit.Incarnation(m.sessions)}
@@ -156,8 +156,8 @@
 		reader := m.ledgers[1-i]
 		read := reader.Merge(m.now, ledgerName(i), l.epoch, update)
 		if !reader.joined && reader.peers[ledgerName(i)] != nil {
-			reader.joined, reader.joinedAt, reader.joinedLevel = true, m.now, reader.accounts[KeyOf(modelCustomer)].level
-			reader.lost = m.returned()
+			reader.joined = true
+			m.startCounting(reader)
 		}
 		m.messages = append(m.messages, func() { l.acked, l.ackedBy = read, reader.epoch })
 	})
@@ -172,6 +172,32 @@
 	return amount
 }
 
+// dropAccounts lets the ledgers drop their accounts for lack of limits, while they exchange messages as step says, and sets the limits again.
+func (m *machine) dropAccounts(steps int, step func()) {
+	for _, l := range m.ledgers {
+		l.SetLimits(m.now, nil)
+	}
+	m.now = m.now.Add(accountMemory)
+	for range steps {
+		for _, l := range m.ledgers {
+			l.DropUnlimited(m.now)
+		}
+		step()
+	}
+	for _, l := range m.ledgers {
+		m.setLimits(l)
+		m.startCounting(l) // what wasn't counted before had no limit
+	}
+}
+
+// startCounting makes undercounted begin with what a ledger has charged up to now.
+func (m *machine) startCounting(l *machineLedger) {
+	l.joinedAt, l.lost = m.now, m.returned()
+	if a := l.accounts[KeyOf(modelCustomer)]; a != nil { // nil while accounts are dropped
+		l.joinedLevel = a.level
+	}
+}
+
 // settle delivers everything that the hosts still have to say.
 func (m *machine) settle() {
 	m.messages = nil
@@ -260,6 +286,15 @@
 				m.startLedger(i)
 				m.ledgers[i].before = draw("build", 3) == 0
 			},
+			"drop accounts": func(*rapid.T) {
+				m.dropAccounts(draw("steps", 12), func() {
+					if draw("exchange", 2) == 0 {
+						m.exchange(draw("ledger", machineLedgers))
+					} else {
+						pick(draw("keep", 3) == 0)
+					}
+				})
+			},
 			"change limit": func(*rapid.T) {
 				m.limit.PerSecond = 1e-6 * float64(1+draw("rate", 5))
 				m.twin = draw("twin", 2) == 0
--- a/internal/admission/usage/message.go
+++ b/internal/admission/usage/message.go
@@ -40,6 +40,11 @@
 	return a.Admitted + a.Others
 }
 
+// isZero reports whether the amount counts no request. Counters of 0 say that they begin again.
+func (a Amount) isZero() bool {
+	return a.Admitted == 0 && a.Others == 0
+}
+
 // Report is what an entry host's customers used since the last report that a control host acknowledged.
 type Report struct {
 	// Session identifies the meter, so that the reports of a restarted host aren't taken for repeated ones.
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -278,6 +278,19 @@
 	levels[key] = toldLevel{level: float64(level), offered: float64(offered), admitted: float64(admitted), at: at}
 }
 
+// DropIdle drops what is known of customers without recent requests, while no customer has a limit and so no reports are sent.
+func (m *Meter) DropIdle(now unit.Moment) {
+	for key, c := range m.customers {
+		if now.Sub(c.usedAt) > idleTime {
+			delete(m.customers, key)
+		}
+	}
+	if len(m.customers) == 0 {
+		clear(m.levels)
+		clear(m.shortLevels)
+	}
+}
+
 // ExpectHosts says how many entry hosts there are, as long as no control host has answered a report. Each of them may admit its part of the limits.
 func (m *Meter) ExpectHosts(hosts int) {
 	if !m.answered {
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -250,6 +250,8 @@
 				report := m.Report(now)
 				request.Usage = &report
 			})
+		} else {
+			g.handler.WithUsage(func(m *usage.Meter) { m.DropIdle(now) })
 		}
 	}
 	g.mu.Lock()
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -131,6 +131,7 @@
 	usage              *usage.Ledger                        // account of the customers' limits
 	usageVersion       table.Version                        // of the table whose limits are in usage
 	limited            bool                                 // the table has customers with limits
+	droppingUsage      bool                                 // accounts are dropped once other control hosts have read updates
 	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
 	storeAddress       string                               // address of the store in the table with storeTableVersion
 	storeTableVersion  table.Version
--- a/internal/host/hub/usage.go
+++ b/internal/host/hub/usage.go
@@ -29,6 +29,7 @@
 	if h.limited {
 		h.usage.Step(now)
 	}
+	h.droppingUsage = h.usage.DropUnlimited(now)
 }
 
 // receiveUsage counts an entry host's report and returns the answer to it, nil for a host that sends none. It is nil also while this host has no
@@ -42,9 +43,9 @@
 	return &levels
 }
 
-// usageUpdate returns what another control host hasn't read of the usage, nil if no customer has a limit.
+// usageUpdate returns what another control host hasn't read of the usage, nil if no customer has a limit and none waits to be dropped.
 func (h *Hub) usageUpdate(now unit.Moment, reader unit.HostName, read uint64) *usage.Update {
-	if !h.limited {
+	if !h.limited && !h.droppingUsage {
 		return nil
 	}
 	update := h.usage.Since(now, reader, read)
--- a/internal/host/hub/usage_test.go
+++ b/internal/host/hub/usage_test.go
@@ -70,6 +70,38 @@
 	assert.Assert(t, first.usageUpdate(clock.Now(), "10.0.0.2", 0) == nil)
 }
 
+// Guards against accounts that are kept for good, or are dropped before the other control host has read that, once no customer has a limit.
+func TestAccountsAreDroppedWithoutAnyLimit(t *testing.T) {
+	first, second := newTestHub(t), newTestHub(t)
+	clock := timer.NewManual()
+	clock.Advance(time.Hour)
+	first.Timer, second.Timer = clock, clock
+	second.Name, first.Incarnation, second.Incarnation = "10.0.0.2", 1, 2
+	limit := usagelimit.Limit{PerSecond: 1_000, Burst: 10_000}
+	setLimits(t, first, 1, &limit)
+	setLimits(t, second, 1, &limit)
+	meter := usage.NewMeter(1, func() float64 { return 0 })
+	for range 3 {
+		report := meter.Report(clock.Now())
+		meter.Accept(clock.Now(), report, *first.syncAnswer("10.0.1.1", clock.Now(), SyncRequest{Usage: &report}, tally.EndpointLoads{}).Usage)
+		meter.Take(clock.Now(), "c", limit, 1)
+		exchange(t, first, second)
+	}
+	setLimits(t, first, 2, nil)
+	setLimits(t, second, 2, nil)
+	clock.Advance(10*time.Minute - 1)
+	first.sumLoads(t.Context())
+	assert.Assert(t, first.usageUpdate(clock.Now(), "10.0.0.2", 0) == nil)
+	clock.Advance(1)
+	first.sumLoads(t.Context())
+	assert.Assert(t, first.droppingUsage)
+	for range 3 {
+		exchange(t, first, second)
+	}
+	first.sumLoads(t.Context())
+	assert.Assert(t, !first.droppingUsage)
+}
+
 // Guards against a control host that answers reports before it has a table with limits: what is reported to it isn't counted. Also guards against
 // hosts of the previous build, which send no reports, that change the account or get answers that they can't use.
 func TestReportsAreAnsweredOnlyWithAnAccount(t *testing.T) {
