Limits: a control host of the build before counts nothing of a short report

Cause: amounts with full keys in a short report were in the field that the build before reads. A control host of it could count them without the report being acknowledged, and count them again in the next one.

Change: these amounts have a field of their own.

The new check in TestCustomersOfOneShortKeyAreKeptApart fails without the change.

--- a/internal/admission/usage/ledger.go
+++ b/internal/admission/usage/ledger.go
@@ -201,9 +201,11 @@
 	}
 	s.lastTold = s.lastTold[:0]
 	s.number, s.heardAt, s.short, s.unclear = r.Number, now, isShort, nil
-	s.received += reportBytes + len(r.Short) + len(r.Amounts)*amountBytes
-	for _, amount := range r.Amounts {
-		l.apply(now, s, amount)
+	s.received += reportBytes + len(r.Short) + (len(r.Amounts)+len(r.Full))*amountBytes
+	for _, amounts := range [][]Amount{r.Amounts, r.Full} {
+		for _, amount := range amounts {
+			l.apply(now, s, amount)
+		}
 	}
 	for _, a := range short.amounts {
 		key, known := l.shorts[a.customer]
--- a/internal/admission/usage/machine_test.go
+++ b/internal/admission/usage/machine_test.go
@@ -101,7 +101,7 @@
 
 // forBuildBefore returns what a build before short messages reads of a report, or sends.
 func forBuildBefore(r Report) Report {
-	r.Short = nil
+	r.Short, r.Full = nil, nil
 	return r
 }
 
--- a/internal/admission/usage/message.go
+++ b/internal/admission/usage/message.go
@@ -54,8 +54,10 @@
 	After   uint64   `cbor:"3,keyasint,omitempty"`
 	Amounts []Amount `cbor:"4,keyasint,omitempty"`
 	// Short is set by meters that understand short answers. It holds Number - After, and amounts with short keys. Once a control host has answered with
-	// Levels.Short, After is left out, and Amounts holds only those whose short keys were unclear to it.
-	Short []byte `cbor:"5,keyasint,omitempty"`
+	// Levels.Short, After and Amounts are left out, so that a build before counts nothing of the report, and Full holds the amounts whose short keys were
+	// unclear.
+	Short []byte   `cbor:"5,keyasint,omitempty"`
+	Full  []Amount `cbor:"6,keyasint,omitempty"`
 }
 
 // Level is the state of one customer's bucket. The rates are per second, over all hosts together.
--- a/internal/admission/usage/meter.go
+++ b/internal/admission/usage/meter.go
@@ -209,10 +209,13 @@
 		admitted := c.admitted - c.ackedAdmitted
 		amount := Amount{Customer: key, Admitted: admitted, Others: c.offered - c.ackedOffered - admitted}
 		m.sent = append(m.sent, amount)
-		if m.short && !c.fullKey {
-			r.Short = appendShortAmount(r.Short, amount)
-		} else {
+		switch {
+		case !m.short:
 			r.Amounts = append(r.Amounts, amount)
+		case c.fullKey:
+			r.Full = append(r.Full, amount)
+		default:
+			r.Short = appendShortAmount(r.Short, amount)
 		}
 	}
 	return r
--- a/internal/admission/usage/short_test.go
+++ b/internal/admission/usage/short_test.go
@@ -94,6 +94,11 @@
 	assert.Assert(t, !d.Admitted && math.Abs(d.Level+1e5) <= 1, "level %g", d.Level)
 	d = m.Take(now, modelTwin, limit, 1)
 	assert.Assert(t, d.Admitted && d.Level == 1e6, "level %g", d.Level)
+
+	// A build before reads none of it. It would otherwise count what is sent to it again, since it doesn't acknowledge the report.
+	r := m.Report(now)
+	assert.Equal(t, len(r.Full), 1)
+	assert.Equal(t, len(transfer[reportBefore](t, r).Amounts), 0)
 }
 
 // Guards against use that counts twice after a lost answer: a customer would be refused within its limit.
