Learn the speeds of engines from the pace of tokens, and count what engines read since the last report

The estimate of the wait counted what all hosts send in the age of the loads, but not what engines read of it: 155 ms in the middle for small prompts whose first event came 10 ms later than on an idle engine. Multiplied by speeds, that kept nearly all requests from slow engines.

Speeds apply together with each host's own ratio, in the estimate of loads, and in the cost of crowded engines. The estimate subtracts what engines read of new prompts. Only services that gather streams, without admission by class. request-ended has endpoint-time-factor.

--- a/internal/callers/forward/outcome.go
+++ b/internal/callers/forward/outcome.go
@@ -60,7 +60,7 @@
 			"weighed", c.Considered, "paused", c.Paused, "limited", c.Limited, "load-age-ms", c.LoadAge.Milliseconds())
 	}
 	if c := r.lastChoice; c != nil && r.work.Gathering != table.GatherNone {
-		attributes = append(attributes, "in-stream-group", c.InGroup)
+		attributes = append(attributes, "in-stream-group", c.InGroup, "endpoint-time-factor", c.TimeFactor)
 	}
 	attributes = append(attributes, r.roomAttributes()...)
 	if c := r.lastChoice; c != nil && c.Limit.InForce() {
--- a/internal/host/gateway/endpoints.go
+++ b/internal/host/gateway/endpoints.go
@@ -19,11 +19,12 @@
 	updating, upcoming []unit.EndpointID
 	otherLoads         map[unit.EndpointID]assign.Load // loads of other entry hosts, nil if the answer holds none
 	permits            []endpointPermits
+	speeds             map[unit.EndpointID]float64 // relative times of engines, nil if the answer holds none
 }
 
 // resolveAnswer resolves the indexes of an answer and determines whether the assigner needs all endpoints again. The lock must be held.
 func (g *Gateway) resolveAnswer(reported []unit.EndpointID, answer *hub.SyncAnswer) endpointUpdate {
-	v := endpointUpdate{updating: g.numbering.IDs(answer.Updating), upcoming: g.numbering.IDs(answer.Upcoming), otherLoads: g.otherHostsLoads(answer)}
+	v := endpointUpdate{updating: g.numbering.IDs(answer.Updating), upcoming: g.numbering.IDs(answer.Upcoming), otherLoads: g.otherHostsLoads(answer), speeds: g.resolveSpeeds(answer)}
 	next := appliedState{registryContent: g.registry.ContentNumber(), updating: v.updating, upcoming: v.upcoming}
 	if t := g.table.Load(); t != nil {
 		next.tableVersion = t.Version
@@ -75,6 +76,20 @@
 	return others
 }
 
+// resolveSpeeds returns the relative times of engines in an answer, nil if it holds none.
+func (g *Gateway) resolveSpeeds(answer *hub.SyncAnswer) map[unit.EndpointID]float64 {
+	if len(answer.Speeds) == 0 {
+		return nil
+	}
+	factors := make(map[unit.EndpointID]float64, len(answer.Speeds))
+	for _, entry := range answer.Speeds {
+		if id, ok := g.numbering.ID(entry.Engine); ok {
+			factors[id], _ = entry.Values()
+		}
+	}
+	return factors
+}
+
 // updateAssigner passes the data of an answer to the assigner and the retry budget. The request was sent at sentAt.
 func (g *Gateway) updateAssigner(now, sentAt unit.Moment, v endpointUpdate, answer *hub.SyncAnswer) {
 	t := g.table.Load()
@@ -108,6 +123,9 @@
 			}
 			a.SetLoads(now.Add(-answer.LoadsAge), v.otherLoads)
 		}
+		if v.speeds != nil {
+			a.SetSpeeds(now, v.speeds)
+		}
 		a.SetHoldings(now, answer.Holding)
 		if a.HasEndpoints() {
 			g.endpointsSeen.Store(true)
--- a/internal/host/gateway/gateway.go
+++ b/internal/host/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/retrybudget"
 	"github.com/citronglade/citronglade/internal/routing/tally"
@@ -233,6 +234,7 @@
 	now := g.Timer.Now()
 	var own map[unit.EndpointID]assign.Load
 	var wanted map[unit.EndpointID]int
+	var speeds map[unit.EndpointID]*enginespeed.Average
 	resendLimits := now.Sub(g.limitsSentAt) >= limitsInterval
 	if resendLimits {
 		g.limitsSentAt = now
@@ -241,6 +243,7 @@
 		own, request.Shared, request.Leaving = a.OwnLoads(now), a.TakeSharedNames(), a.Leaving()
 		wanted, request.Limits = a.WantedPermits(now), a.Limits(now, resendLimits)
 		request.Reach, request.NeedsRelays = a.Reach(now)
+		speeds = a.TakeSpeedSamples()
 	})
 	request.Stopping = g.Stopping()
 	if t := g.table.Load(); t != nil {
@@ -270,6 +273,11 @@
 	}
 	request.Limits = request.Limits[:min(len(request.Limits), maxLimitedEndpoints)]
 	request.WantedPermits = g.wantedPermits(wanted)
+	for id, average := range speeds {
+		if index, ok := g.numbering.Index(id); ok {
+			request.Speeds = append(request.Speeds, average.Entry(index))
+		}
+	}
 	number := uint64(1)
 	if len(g.sentLoads) > 0 {
 		number = g.sentLoads[len(g.sentLoads)-1].number + 1
--- a/internal/host/hub/handler.go
+++ b/internal/host/hub/handler.go
@@ -155,6 +155,10 @@
 		entry.loadsSentAt = now
 	}
 	answer.Usage = h.receiveUsage(now, from, request.Usage)
+	if request.Epoch == h.Incarnation {
+		h.addSpeeds(now, request.Speeds)
+	}
+	answer.Speeds = h.speedsFor(now, &entry)
 	answer.Permits, answer.PermitsAge = h.takePermits(now, &entry), now.Sub(h.leaderHeardAt)
 	h.entries[from] = entry
 	if request.NeedsRelays {
@@ -316,8 +320,9 @@
 		updated.readUsage = h.usage.Merge(now, from, state.Epoch, *state.Usage)
 	}
 	h.receivePermits(now, state.Permits, known.numbering)
+	h.receiveSpeeds(now, from, state.Speeds, known.numbering)
 	state.Update, state.Holding, state.Loads, state.UrgentLoads, state.Shared, state.Crashes = registry.Update{}, cachedparts.Update{}, nil, nil, nil, quarantine.Update{}
-	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges, state.Usage = nil, nil, crashcause.Update{}, nil, nil, nil, nil
+	state.WantedPermits, state.Permits, state.Causes, state.Streams, state.Relays, state.WeightsAges, state.Usage, state.Speeds = nil, nil, crashcause.Update{}, nil, nil, nil, nil, nil
 	updated.State = state
 	h.peers[from] = updated
 	return nil
--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -32,6 +32,7 @@
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 	"github.com/citronglade/citronglade/internal/routing/parttrial"
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
@@ -131,8 +132,10 @@
 	usage              *usage.Ledger                        // account of the customers' limits
 	usageVersion       table.Version                        // of the table whose limits are in usage
 	limited            bool                                 // the table has customers with limits
-	leaderHeardAt      unit.Moment                          // when this host last knew a leader that issues permits
-	storeAddress       string                               // address of the store in the table with storeTableVersion
+	speeds             *enginespeed.Register
+	speedsSentAt       unit.Moment // when the speeds of engines were last sent to the other control hosts
+	leaderHeardAt      unit.Moment // when this host last knew a leader that issues permits
+	storeAddress       string      // address of the store in the table with storeTableVersion
 	storeTableVersion  table.Version
 	relaysSentAt       unit.Moment
 	savedEndpoints     uint64 // content number of the registry at the last save
@@ -152,6 +155,8 @@
 	granted        map[unit.EndpointID][]permit.Batch // not yet sent
 	reach          assign.Reach
 	stopping       bool
+	speedsSentAt   unit.Moment
+	speedsPause    time.Duration
 }
 
 // loadSum is the load of all entry hosts together, by the indexes of the registry. It is computed once for all entry hosts that ask.
@@ -187,7 +192,7 @@
 		placeOwners: map[cachedparts.Place]unit.HostName{}, pollers: map[eventSource]context.CancelFunc{},
 		shared: sharing.New(), crashes: quarantine.New(), crashCauses: crashcause.New(0), permits: map[unit.EndpointID]*endpointPermits{},
 	}
-	h.usage = usage.NewLedger()
+	h.usage, h.speeds = usage.NewLedger(), enginespeed.New()
 	h.streams, h.trials = newStreamRecords(d.Timer.Now()), parttrial.New(d.Timer.Now())
 	h.leads = h.holdsLeaderLease
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -33,7 +33,7 @@
 	own := h.ownLoads(now)
 	state := State{
 		Epoch: h.Incarnation, Loads: own.Pack(), UrgentLoads: own.PackUrgent(), EntryHosts: h.ownEntryHostCount(now), Leader: h.isLeader, DataCentre: h.DataCentre, Shared: h.newlyShared,
-		WantedPermits: h.unmetPermits(now), Relays: h.relaysToSend(now), WeightsAges: h.agesToSend(now),
+		WantedPermits: h.unmetPermits(now), Relays: h.relaysToSend(now), WeightsAges: h.agesToSend(now), Speeds: h.speedsToSend(now),
 	}
 	h.newlyShared = nil
 	if h.isLeader {
--- a/internal/host/hub/message.go
+++ b/internal/host/hub/message.go
@@ -14,6 +14,7 @@
 	"github.com/citronglade/citronglade/internal/routing/assign"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
 	"github.com/citronglade/citronglade/internal/routing/crashcause"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 	"github.com/citronglade/citronglade/internal/routing/permit"
 	"github.com/citronglade/citronglade/internal/routing/quarantine"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
@@ -61,6 +62,8 @@
 	WeightsRead uint64 `cbor:"19,keyasint,omitempty"`
 	// Usage is what customers with limits used. It is nil without such customers.
 	Usage *usage.Report `cbor:"20,keyasint,omitempty"`
+	// Speeds are the observed times of engines since the last request, by the indexes of that registry.
+	Speeds []enginespeed.Entry `cbor:"21,keyasint,omitempty"`
 	// UrgentLoad is the packed load of the host's urgent requests, see tally.EndpointLoads.PackUrgent. It belongs to Load.
 	UrgentLoad []byte `cbor:"22,keyasint,omitempty"`
 }
@@ -109,6 +112,8 @@
 	WeightsNumber uint64          `cbor:"22,keyasint,omitempty"`
 	// Usage answers the report in the request.
 	Usage *usage.Levels `cbor:"23,keyasint,omitempty"`
+	// Speeds are the relative times of all engines of which samples are known, if they are due.
+	Speeds []enginespeed.Entry `cbor:"24,keyasint,omitempty"`
 	// UrgentLoads is the packed load of the urgent requests of all entry hosts. It belongs to Loads.
 	UrgentLoads []byte `cbor:"25,keyasint,omitempty"`
 }
@@ -158,6 +163,8 @@
 	// Usage is what customers with limits used through the sender; nil without such customers. ReadUsage is to it what ReadRegistry is to Update.
 	Usage     *usage.Update `cbor:"27,keyasint,omitempty"`
 	ReadUsage uint64        `cbor:"28,keyasint,omitempty"`
+	// Speeds are the averages of the times of engines that the sender's entry hosts observed. They are sent every speedsInterval only.
+	Speeds []enginespeed.Entry `cbor:"29,keyasint,omitempty"`
 	// UrgentLoads is the packed load of urgent requests in Loads.
 	UrgentLoads []byte `cbor:"30,keyasint,omitempty"`
 }
--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -16,6 +16,7 @@
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
 	"github.com/citronglade/citronglade/internal/routing/cachedparts"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 	"github.com/citronglade/citronglade/internal/routing/sharing"
 )
 
@@ -95,9 +96,12 @@
 	brittle      map[table.ServiceName]brittleness
 	demands      map[table.ServiceName]*decayingRate // requests for brittle services, also those that aren't sent
 	groups       map[table.ServiceName]*serviceGroup
-	arrivals     map[arrivalKey]*arrivalRate    // requests of services with several classes, also those that aren't sent
-	closedUntil  map[serviceClass]unit.Moment   // until when new requests are refused, because one that had returned was
-	returning    map[serviceClass]*decayingRate // tokens to prefill of requests that were refused and haven't returned
+	speedSamples map[unit.EndpointID]*enginespeed.Average // not yet sent to a control host
+	meanPauses   map[paceKey]float64                      // mean logarithm of the pauses between events, over all engines
+	speedsAt     unit.Moment                              // when a control host last told the relative times of engines, 0 if they aren't used
+	arrivals     map[arrivalKey]*arrivalRate              // requests of services with several classes, also those that aren't sent
+	closedUntil  map[serviceClass]unit.Moment             // until when new requests are refused, because one that had returned was
+	returning    map[serviceClass]*decayingRate           // tokens to prefill of requests that were refused and haven't returned
 }
 
 // New returns an assigner without endpoints.
@@ -107,7 +111,7 @@
 		weightsHistory: versionage.New(), serviceStats: map[serviceClass]serviceStat{}, hosts: 1, holdings: cachedparts.New(),
 		evictions: evictionRates{}, sendRates: map[table.ServiceName]*sendRate{}, sharedParts: sharedNames{publishedAt: map[sharing.PartID]unit.Moment{}},
 		contacts: map[table.ServiceName]*contact{}, brittle: map[table.ServiceName]brittleness{}, demands: map[table.ServiceName]*decayingRate{}, arrivals: map[arrivalKey]*arrivalRate{}, closedUntil: map[serviceClass]unit.Moment{}, returning: map[serviceClass]*decayingRate{},
-		groups: map[table.ServiceName]*serviceGroup{},
+		groups: map[table.ServiceName]*serviceGroup{}, speedSamples: map[unit.EndpointID]*enginespeed.Average{}, meanPauses: map[paceKey]float64{},
 	}
 }
 
@@ -170,6 +174,7 @@
 // SetLoads sets the load that other hosts have at each endpoint, as known at the given moment.
 func (a *Assigner) SetLoads(at unit.Moment, others map[unit.EndpointID]Load) {
 	a.loadsAt = at
+	a.forgetOldSpeeds(at)
 	for id, r := range a.replicas {
 		r.others = others[id]
 	}
@@ -263,7 +268,7 @@
 		}
 		c.choice = Choice{
 			Endpoint: r.ID, Born: r.Born, Address: r.Address, Weights: r.weights(w.Model), Software: r.Software, Expected: expected, QueueTime: waitForOthers, Missing: plan.missing, Value: c.value,
-			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, Room: decision, InGroup: group != nil && group.Contains(r.ID),
+			Source: plan.source, Save: plan.save, Recomputed: plan.recomputed, Fetched: plan.fetched, Limit: r.limit, Room: decision, InGroup: group != nil && group.Contains(r.ID), TimeFactor: r.knownFactor(),
 		}
 		considered = append(considered, c)
 	}
--- a/internal/routing/assign/attempt.go
+++ b/internal/routing/assign/attempt.go
@@ -16,6 +16,7 @@
 	expected  time.Duration
 	answering bool
 	ended     bool
+	pace      eventPace
 }
 
 // Begin records that the request is sent to the endpoint. It returns nil if the endpoint is no longer known.
@@ -116,6 +117,7 @@
 func (a *Assigner) RecordActivity(now unit.Moment, f *Attempt) {
 	if f != nil {
 		a.heard(now, f.replica)
+		a.samplePace(now, f)
 	}
 }
 
--- a/internal/routing/assign/load_estimate.go
+++ b/internal/routing/assign/load_estimate.go
@@ -1,6 +1,7 @@
 package assign
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -51,22 +52,34 @@
 		return loads
 	}
 	lag := min(loadLag+now.Sub(a.loadsAt), maxLoadLag)
-	prefilled := unit.Tokens(prefillTimeShare * prefillRate * float64(lag.Milliseconds()))
+	readTokens := prefillTimeShare * prefillRate * float64(lag.Milliseconds())
+	// The estimate also counts what engines read of the prompts that were sent after the report. Without that, the estimated wait is longer than the
+	// real one by about the age of the report.
+	readsNew := w.learnsSpeeds()
+	if readsNew {
+		readTokens /= stat.latencyFactor
+	}
 	remaining := math.Exp(-float64(lag) / float64(stat.meanDuration))
 	var filled levels
 	filledUrgent := make([]levels, w.ownClasses())
 	for i, r := range candidates {
-		reported := r.others
+		reported, unreported := r.others, r.unreportedLoad(now, a.hosts)
+		if readsNew {
+			reported, unreported = reported.Add(unreported), Load{}
+		}
+		speed := 1 / r.knownFactor()
+		prefilled := unit.Tokens(readTokens * speed)
+		after := reported
 		whole := reported.whole().after(prefilled, remaining)
-		reported.Requests, reported.Tokens, reported.PendingPrefill = whole.Requests, whole.Tokens, whole.PendingPrefill
+		after.Requests, after.Tokens, after.PendingPrefill = whole.Requests, whole.Tokens, whole.PendingPrefill
 		for class := range filledUrgent {
-			reported.Urgent[class] = reported.Urgent[class].after(prefilled, remaining)
+			after.Urgent[class] = reported.Urgent[class].after(prefilled, remaining)
 		}
-		loads[i] = r.own.Add(reported).Add(r.unreportedLoad(now, a.hosts))
+		loads[i] = r.own.Add(after).Add(unreported)
 		if a.reachable(now, r) && !r.weightsUpdating && !a.suspected(now, r) && !r.limit.InForce() {
-			filled.add(loads[i].whole())
+			filled.add(loads[i].whole(), speed, prefilled-reported.PendingPrefill)
 			for class := range filledUrgent {
-				filledUrgent[class].add(loads[i].Urgent[class])
+				filledUrgent[class].add(loads[i].Urgent[class], speed, prefilled-reported.Urgent[class].PendingPrefill)
 			}
 		}
 	}
@@ -76,16 +89,31 @@
 	}
 	// The share that unreportedLoad has already added to each engine's load isn't counted again.
 	hostSeconds := (float64(a.hosts-1) - unreportedShare*float64(min(a.hosts-1, maxUnreportedHosts))) * lag.Seconds()
-	level := filled.fill(hostSeconds*rate.requests.rateSinceStart(now), hostSeconds*rate.tokens.rateSinceStart(now), hostSeconds*rate.unread.rateSinceStart(now))
-	for i := range loads {
-		l := &loads[i]
+	fill := func(of levels, requests, tokens, unread decayingRate) (levelAt func(r *replica) ClassLoad) {
+		amount := hostSeconds * unread.rateSinceStart(now)
+		if readsNew {
+			amount = max(0, amount-of.spare)
+		}
+		level := ClassLoad{
+			Requests: int(waterLevel(of.requests, hostSeconds*requests.rateSinceStart(now)) + 0.5),
+			Tokens:   unit.Tokens(waterLevel(of.tokens, hostSeconds*tokens.rateSinceStart(now))),
+		}
+		unreadLevel := weightedWaterLevel(of.unread, amount)
+		return func(r *replica) ClassLoad {
+			level.PendingPrefill = unit.Tokens(unreadLevel / r.knownFactor())
+			return level
+		}
+	}
+	levelAt := fill(filled, rate.requests, rate.tokens, rate.unread)
+	for i, r := range candidates {
+		l, level := &loads[i], levelAt(r)
 		l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
 	}
 	for class := range filledUrgent {
 		u := &rate.urgent[class]
-		level = filledUrgent[class].fill(hostSeconds*u.requests.rateSinceStart(now), hostSeconds*u.tokens.rateSinceStart(now), hostSeconds*u.unread.rateSinceStart(now))
-		for i := range loads {
-			l := &loads[i].Urgent[class]
+		levelAt = fill(filledUrgent[class], u.requests, u.tokens, u.unread)
+		for i, r := range candidates {
+			l, level := &loads[i].Urgent[class], levelAt(r)
 			l.Requests, l.Tokens, l.PendingPrefill = max(l.Requests, level.Requests), max(l.Tokens, level.Tokens), max(l.PendingPrefill, level.PendingPrefill)
 		}
 	}
@@ -99,29 +127,39 @@
 
 // levels are the loads of the engines to which requests may be sent.
 type levels struct {
-	requests, tokens, unread []float64
+	requests, tokens []float64
+	unread           []level
+	spare            float64 // tokens that the engines could read besides the reported ones
 }
 
-func (f *levels) add(l ClassLoad) {
+func (f *levels) add(l ClassLoad, speed float64, spare unit.Tokens) {
 	f.requests = append(f.requests, float64(l.Requests))
-	f.tokens, f.unread = append(f.tokens, float64(l.Tokens)), append(f.unread, float64(l.PendingPrefill))
+	f.tokens, f.unread = append(f.tokens, float64(l.Tokens)), append(f.unread, level{float64(l.PendingPrefill), speed})
+	f.spare += max(0, float64(spare))
 }
 
-// fill returns the load up to which the given amounts fill the least loaded engines.
-func (f *levels) fill(requests, tokens, unread float64) ClassLoad {
-	return ClassLoad{
-		Requests: int(waterLevel(f.requests, requests) + 0.5), Tokens: unit.Tokens(waterLevel(f.tokens, tokens)), PendingPrefill: unit.Tokens(waterLevel(f.unread, unread)),
-	}
+// level is the amount in one of several vessels.
+type level struct {
+	amount, width float64
 }
 
 // waterLevel returns the height up to which the amount fills the lowest of the levels.
 func waterLevel(levels []float64, amount float64) float64 {
-	slices.Sort(levels)
-	sum := amount
-	for i, level := range levels {
-		sum += level
-		height := sum / float64(i+1)
-		if i+1 == len(levels) || height <= levels[i+1] {
+	weighted := make([]level, 0, len(levels))
+	for _, l := range levels {
+		weighted = append(weighted, level{l, 1})
+	}
+	return weightedWaterLevel(weighted, amount)
+}
+
+// weightedWaterLevel is waterLevel for vessels of different widths. The height of a level is its amount divided by its width.
+func weightedWaterLevel(levels []level, amount float64) float64 {
+	slices.SortFunc(levels, func(a, b level) int { return cmp.Compare(a.amount/a.width, b.amount/b.width) })
+	sum, width := amount, 0.0
+	for i, l := range levels {
+		sum, width = sum+l.amount, width+l.width
+		height := sum / width
+		if i+1 == len(levels) || height <= levels[i+1].amount/levels[i+1].width {
 			return height
 		}
 	}
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -60,6 +60,7 @@
 
 	cached        *partCache
 	latencyFactor float64 // observed / expected time to the first byte
+	relativeTime  relativeTime
 	meanDuration  time.Duration
 
 	failures, attempts  float64 // decayed with the time constant failureDecayTime
@@ -133,7 +134,7 @@
 	if r.engine == nil || !w.HasPrompt {
 		return r.meanDuration
 	}
-	return time.Duration(stat.latencyFactor * r.latencyFactor * (float64(firstTokenOverhead) + float64(missing)/prefillRate*float64(time.Millisecond)))
+	return time.Duration(stat.latencyFactor * r.timeFactor() * (float64(firstTokenOverhead) + float64(missing)/prefillRate*float64(time.Millisecond)))
 }
 
 // stallTime returns how much longer than expected the endpoint has sent nothing while a request of this host waits for its first
@@ -153,7 +154,7 @@
 
 // waitForPrefill returns the time until the engine has read the prompts.
 func (r *replica) waitForPrefill(stat serviceStat, l ClassLoad) time.Duration {
-	return time.Duration(stat.latencyFactor * r.latencyFactor * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond))
+	return time.Duration(stat.latencyFactor * r.timeFactor() * float64(l.PendingPrefill) / prefillRate * float64(time.Millisecond))
 }
 
 // waitForMemory returns the time until enough running requests have ended to free the needed memory. Their memory is assumed to
--- a/internal/routing/assign/stream_group.go
+++ b/internal/routing/assign/stream_group.go
@@ -16,7 +16,7 @@
 	// fetching a long shared prompt, and about that of computing it again.
 	insideGroupCost  = 0.6
 	groupPrefillTime = 20 * time.Millisecond
-	// crowdingCost is the cost of a gathered stream on an engine whose slots are all taken. Each running request makes the tokens of the others slower, which
+	// crowdingCost is the cost of a gathered stream on an engine of average speed whose slots are all taken. Each running request makes the tokens of the others slower, which
 	// the estimate of the time to the first byte doesn't show.
 	crowdingCost = 0.35
 )
@@ -62,7 +62,8 @@
 	inside := group.Contains(r.ID)
 	switch {
 	case w.Gathering == table.GatherStream:
-		cost := crowdingCost * float64(l.Requests) / float64(max(r.engine.Slots, 1))
+		tokenTime := r.knownFactor() * (1 + fullBatchDelay*float64(l.Requests)/float64(max(r.engine.Slots, 1)))
+		cost := crowdingCost * (tokenTime - 1) / fullBatchDelay
 		if !inside {
 			cost += outsideGroupCost
 		}
--- a/internal/routing/assign/stream_group_test.go
+++ b/internal/routing/assign/stream_group_test.go
@@ -13,6 +13,7 @@
 	"github.com/citronglade/citronglade/internal/base/unit"
 	"github.com/citronglade/citronglade/internal/endpoints/registry"
 	"github.com/citronglade/citronglade/internal/planning/table"
+	"github.com/citronglade/citronglade/internal/routing/enginespeed"
 )
 
 // The pause model: engines that produce one token of each running request per step, and read one piece of a prompt beside it. Streams send an event every
@@ -73,9 +74,11 @@
 				limit, since, q.eventAt = q.work.Objective, q.sentAt, now
 				q.host.Began(now, q.flight)
 				q.late = now.Sub(since) > limit
+				q.host.RecordActivity(now, q.flight)
 			} else {
 				q.late = q.late || now.Sub(since) > limit
 				q.eventAt = max(now, q.eventAt)
+				q.host.RecordActivity(q.eventAt, q.flight)
 			}
 		}
 		if q.tokens > 0 {
@@ -95,9 +98,10 @@
 type pauseResult struct{ small, large float64 }
 
 // runPauseModel serves 146 small and 283 large requests per second for 20 s, and counts those of the second half.
-func runPauseModel(t *testing.T, gathers bool) pauseResult {
+func runPauseModel(t *testing.T, gathers, learns bool) pauseResult {
 	t.Helper()
 	random := rand.New(rand.NewPCG(5, 5))
+	speeds := enginespeed.New()
 	var engines []*pauseEngine
 	for i := range pauseEngines {
 		engines = append(engines, &pauseEngine{id: unit.EndpointID(fmt.Sprintf("e%02d", i)), speed: []float64{0.7, 0.7, 1.7}[i%3]})
@@ -127,6 +131,10 @@
 					total[id] = total[id].Add(load)
 				}
 			}
+			factors := map[unit.EndpointID]float64{}
+			for l, factor := range speeds.Factors(now) {
+				factors[l.Endpoint] = factor
+			}
 			for i, a := range hosts {
 				a.SetEndpoints(known, func(table.ServiceName) (*table.Service, bool) { return service, true }, nil, nil)
 				others := map[unit.EndpointID]Load{}
@@ -134,6 +142,13 @@
 					others[id] = load.Sub(reported[i][id])
 				}
 				a.SetLoads(now.Add(loadLag-pauseSync), others)
+				for id, average := range a.TakeSpeedSamples() {
+					mean, weight := average.Entry(1).Values()
+					speeds.Add(now, registry.Lifetime{Endpoint: id}, mean, weight)
+				}
+				if learns {
+					a.SetSpeeds(now, factors)
+				}
 			}
 			for i, a := range hosts {
 				reported[i] = a.OwnLoads(now)
@@ -201,9 +216,12 @@
 // Guards against streams that pause for longer than their callers accept because large prompts are read beside them, on engines of unlike speed that
 // some of the time are 2.5 times as slow. The large prompts must not pay for it.
 func TestGatheredStreamsPauseLess(t *testing.T) {
-	before, gathered := runPauseModel(t, false), runPauseModel(t, true)
-	t.Logf("late without gathering: small %.3f, large %.3f; gathered: %.3f, %.3f", before.small, before.large, gathered.small, gathered.large)
-	assert.Assert(t, gathered.small < 0.05, "%.3f of the urgent streams are late", gathered.small)
-	assert.Assert(t, gathered.small < before.small/2, "%.3f of the urgent streams are late, %.3f without gathering", gathered.small, before.small)
-	assert.Assert(t, gathered.large <= math.Max(before.large, 0.05), "%.3f of the large prompts are late, %.3f before", gathered.large, before.large)
+	before := runPauseModel(t, false, false)
+	gathered := runPauseModel(t, true, false)
+	both := runPauseModel(t, true, true)
+	t.Logf("late without gathering: small %.3f, large %.3f; gathered: %.3f, %.3f; with shared speeds: %.3f, %.3f",
+		before.small, before.large, gathered.small, gathered.large, both.small, both.large)
+	assert.Assert(t, both.small < 0.05, "%.3f of the urgent streams are late", both.small)
+	assert.Assert(t, both.small < before.small/2, "%.3f of the urgent streams are late, %.3f without gathering", both.small, before.small)
+	assert.Assert(t, both.large <= math.Max(before.large, 0.05), "%.3f of the large prompts are late, %.3f before", both.large, before.large)
 }
--- a/internal/routing/assign/work.go
+++ b/internal/routing/assign/work.go
@@ -196,6 +196,7 @@
 	Brittle    int           // number of brittle endpoints that were passed over because they would probably reject the request
 	LoadAge    time.Duration // age of the loads that other hosts reported
 	InGroup    bool          // the endpoint belongs to the group on which the service's urgent streams are gathered
+	TimeFactor float64       // time that the endpoint takes for a token, relative to the others, as all hosts have learned it; 1 if unknown
 	// Room is the decision whether the request is admitted at the endpoint; nil for a service with one class.
 	Room *room.Decision
 	// Limit is the limit that the endpoint named; the zero value if it never named one.
