Assign: take 500 ms instead of 1 ms for a missing objective

Cause: the value of a request whose route names no objective was computed with one of 1 ms. A plain service whose answers took 0.5 ms then valued an endpoint with an estimate of 10 ms 0.7 lower. An endpoint that names a limit answers rarely and keeps its initial estimate of 150 ms, so that after 40 to 50 answers of another one hosts never chose it, wanted no permits and sent it nothing.

Change: 500 ms stand for a missing objective.

TestAFastEndpointWithALimitStaysInUse (virtual time) failed before with 0 requests in 20 s for no objective, and for no objective with slow first answers; with the change it passes. go test ./internal/routing/assign -run TestAFastEndpoint

--- a/internal/routing/assign/assigner.go
+++ b/internal/routing/assign/assigner.go
@@ -4,6 +4,7 @@
 package assign
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -27,6 +28,9 @@
 	// ratio at which it is 1/2, onTimeWidth the width of the curve. The midpoint is below 1 because the estimate leaves out the
 	// network and the hosts.
 	onTimeMidpoint, onTimeWidth = 0.75, 0.12
+	// defaultObjective stands for the objective of a request whose route names none. It is far longer than short answers take, so that
+	// differences of a few milliseconds between their estimates don't decide.
+	defaultObjective = 500 * time.Millisecond
 	// prefillCost is the cost of a prefill that takes as long as the objective.
 	prefillCost = 0.08
 	// recomputeCost is the cost of 1,000 shared tokens that are computed again. To compute a long shared prompt twice costs the
@@ -334,7 +338,7 @@
 // value is the expected value of the request at the endpoint, where 1 is an answer that is certainly in time, less the costs of
 // using that endpoint.
 func (a *Assigner) value(now unit.Moment, r *replica, w *Request, expected time.Duration, plan cachePlan) float64 {
-	objective := float64(max(w.Objective, time.Millisecond))
+	objective := float64(max(cmp.Or(w.Objective, defaultObjective), time.Millisecond))
 	ratio := float64(expected) / objective
 	inTime := 1 / (1 + math.Exp((ratio-onTimeMidpoint)/onTimeWidth))
 	value := lateAnswerValue + (1-lateAnswerValue)*inTime
