Assign: estimate limited endpoints by the mean of their service

Cause: each endpoint of a plain service starts with an estimated duration of 150 ms, which only its own answers correct, by a tenth each. Beside an endpoint that answers in a few milliseconds it looks too slow for an objective of up to 100 ms, and one that names a limit gets nothing from then on.

Change: while an endpoint names a limit, the mean duration of the service's requests takes the place of the initial estimate.

The cases of TestAFastEndpointWithALimitStaysInUse with objectives of 5, 20 and 100 ms failed before (0 requests in 20 s, at least 10 expected) and pass now; the figures of TestShortRequestsSpreadOverEndpoints are the same as before. go test ./internal/routing/assign -run 'TestAFastEndpoint|TestShortRequests' -v

--- a/internal/routing/assign/attempt.go
+++ b/internal/routing/assign/attempt.go
@@ -99,6 +99,7 @@
 // learnDuration updates the mean durations with the total time of a request.
 func (a *Assigner) learnDuration(f *Attempt, took time.Duration) {
 	f.replica.meanDuration += time.Duration(replicaLearningRate * float64(took-f.replica.meanDuration))
+	f.replica.unlearned *= 1 - replicaLearningRate
 	if !f.work.HasPrompt && f.replica.engine != nil {
 		return
 	}
--- a/internal/routing/assign/limit_use_test.go
+++ b/internal/routing/assign/limit_use_test.go
@@ -30,6 +30,9 @@
 	}{
 		{name: "no objective", first: time.Millisecond, others: 400 * time.Microsecond},
 		{name: "no objective, slow first answers", first: 20 * time.Millisecond, others: 400 * time.Microsecond},
+		{name: "objective of 5 ms", objective: 5 * time.Millisecond, first: time.Millisecond, others: time.Millisecond},
+		{name: "objective of 20 ms", objective: 20 * time.Millisecond, first: 2 * time.Millisecond, others: time.Millisecond},
+		{name: "objective of 100 ms", objective: 100 * time.Millisecond, first: 10 * time.Millisecond, others: 5 * time.Millisecond},
 		{name: "objective of 500 ms", objective: 500 * time.Millisecond, first: 10 * time.Millisecond, others: 5 * time.Millisecond},
 	}
 	for _, c := range cases {
--- a/internal/routing/assign/replica.go
+++ b/internal/routing/assign/replica.go
@@ -59,8 +59,9 @@
 	flights           map[*Attempt]struct{}
 
 	cached        *partCache
-	latencyFactor float64 // observed / expected time to the first byte
-	meanDuration  time.Duration
+	latencyFactor float64       // observed / expected time to the first byte
+	meanDuration  time.Duration // see duration
+	unlearned     float64       // weight of defaultDuration in meanDuration
 
 	failures, attempts  float64 // decayed with the time constant failureDecayTime
 	decayedAt           unit.Moment
@@ -89,7 +90,7 @@
 		memory = engine.CacheTokens
 	}
 	return &replica{
-		Report: r.Report, heardAt: r.HeardAt, engine: engine, cached: newPartCache(memory), latencyFactor: 1, meanDuration: defaultDuration,
+		Report: r.Report, heardAt: r.HeardAt, engine: engine, cached: newPartCache(memory), latencyFactor: 1, meanDuration: defaultDuration, unlearned: 1,
 		flights: map[*Attempt]struct{}{},
 	}
 }
@@ -122,7 +123,7 @@
 	if r.engine == nil || !w.HasPrompt {
 		slots := max(r.Slots, 1)
 		// Requests beyond the number of slots wait until one becomes free.
-		return time.Duration(float64(r.meanDuration) * float64(max(0, l.Requests+1-slots)) / float64(slots))
+		return time.Duration(float64(r.duration(stat)) * float64(max(0, l.Requests+1-slots)) / float64(slots))
 	}
 	ahead := l.ahead(w)
 	return r.waitForPrefill(stat, ahead) + r.waitForMemory(own, stat, ahead) + r.waitForSlot(stat, ahead)
@@ -131,11 +132,21 @@
 // unqueuedTime returns the time to the first byte of a request that doesn't wait for others.
 func (r *replica) unqueuedTime(w *Request, stat serviceStat, missing unit.Tokens) time.Duration {
 	if r.engine == nil || !w.HasPrompt {
-		return r.meanDuration
+		return r.duration(stat)
 	}
 	return time.Duration(stat.latencyFactor * r.latencyFactor * (float64(firstTokenOverhead) + float64(missing)/prefillRate*float64(time.Millisecond)))
 }
 
+// duration returns the estimated duration of a request that isn't a prompt. As far as an endpoint that names a limit hasn't answered yet,
+// the mean of its service is used: with the fixed initial estimate, it would look slow among faster endpoints and never get the requests
+// that correct it.
+func (r *replica) duration(stat serviceStat) time.Duration {
+	if r.engine != nil || !r.limit.InForce() { // stat of a service with engines is that of prompts
+		return r.meanDuration
+	}
+	return r.meanDuration + time.Duration(r.unlearned*float64(stat.meanDuration-defaultDuration))
+}
+
 // stallTime returns how much longer than expected the endpoint has sent nothing while a request of this host waits for its first
 // byte. The next request will probably wait for as long again.
 func (r *replica) stallTime(now unit.Moment) time.Duration {
