Hub: keep the trials of parts when no other host led in between

The schedule belongs to a term now. It is replaced only when the host leads in a term that is neither the last one in which it led nor the next: a term has one leader at most, and a lease has ended before a lease in a later term begins, so no other host can have granted trials otherwise. The term is also checked for each query, not only every 50 ms.

go test ./internal/host/hub -count 1: passes, also with -race.

--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -104,7 +104,7 @@
 	pollers      map[eventSource]context.CancelFunc // used only by the loop that runs updatePollers
 	// pollerCount is the number of pollers.
 	pollerCount atomic.Int64
-	leads       func(unit.Moment) bool // holdsLeaderLease, except in tests
+	leaderTerm  func(unit.Moment) uint64 // heldTerm, except in tests
 
 	mu                 sync.Mutex
 	registry           *registry.Registry
@@ -125,6 +125,7 @@
 	crashes            *quarantine.Register
 	crashCauses        *crashcause.Register // collects and forwards evidence; the leader decides on trials by it
 	trials             *parttrial.Schedule
+	trialsTerm         uint64 // last term in which this host led with trials, 0 before the first one
 	streams            streamRecords
 	loads              loadSum
 	permits            map[unit.EndpointID]*endpointPermits // of the endpoints that name limits
@@ -189,7 +190,7 @@
 	}
 	h.usage = usage.NewLedger()
 	h.streams, h.trials = newStreamRecords(d.Timer.Now()), parttrial.New(d.Timer.Now())
-	h.leads = h.holdsLeaderLease
+	h.leaderTerm = h.heldTerm
 	h.leaderCaller = leader.New(d.Call, d.Seeds())
 	h.stateFile = savedstate.New(d.DataFolder)
 	h.restoreState()
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -26,9 +26,8 @@
 	h.leaderCaller.SetHosts(control)
 	h.setMemberPeers(control)
 	now := h.Timer.Now()
-	issues := h.leads(now)
 	h.mu.Lock()
-	h.restartTrials(now, issues)
+	issues := h.updateTrials(now)
 	granted := h.grantPermits(now, issues)
 	own := h.ownLoads(now)
 	state := State{
--- a/internal/host/hub/permits.go
+++ b/internal/host/hub/permits.go
@@ -21,10 +21,22 @@
 	rate float64 // requests per second that the limit allows
 }
 
-// holdsLeaderLease reports whether this host is the leader. Only the leader issues permits.
-func (h *Hub) holdsLeaderLease(now unit.Moment) bool {
+// leads reports whether this host is the leader. Only the leader issues permits.
+func (h *Hub) leads(now unit.Moment) bool {
+	return h.leaderTerm(now) != 0
+}
+
+// heldTerm returns the term in which this host holds the leader lease, or 0 without the lease.
+func (h *Hub) heldTerm(now unit.Moment) uint64 {
 	m, err := h.group.member()
-	return err == nil && m.HoldsLeaderLease(now)
+	if err != nil {
+		return 0
+	}
+	term := m.Status().Term
+	if !m.HoldsLeaderLease(now) || m.Status().Term != term { // the term may change between the calls
+		return 0
+	}
+	return term
 }
 
 // learnLimit applies a limit that an endpoint named in an answer to an entry host. The lock must be held, as for all functions below.
--- a/internal/host/hub/permits_test.go
+++ b/internal/host/hub/permits_test.go
@@ -21,7 +21,7 @@
 	leader, other := newTestHub(t), newTestHub(t)
 	clock := timer.NewManual()
 	leader.Timer, other.Timer = clock, clock
-	leader.leads = func(unit.Moment) bool { return true }
+	leader.leaderTerm = func(unit.Moment) uint64 { return 1 }
 	other.Name, leader.Incarnation, other.Incarnation = "10.0.0.2", 1, 2
 	leader.registry.ApplyReport(0, registry.Report{ID: "e", Service: "s", Address: "10.1.0.1:80", Born: 1, Sequence: 1})
 	exchange(t, leader, other)
--- a/internal/host/hub/trials.go
+++ b/internal/host/hub/trials.go
@@ -16,12 +16,12 @@
 	if err := codec.Unmarshal(payload, &query); err != nil {
 		return nil, err
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
 	now := h.Timer.Now()
-	if !h.leads(now) {
+	if !h.updateTrials(now) {
 		return nil, fault.NotLeader.New("this host doesn't grant trials").WithProperty(fault.Leader, leader)
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	granted := h.trials.Grant(now, query, h.crashCauses)
 	if granted {
 		h.Log.Info("part-trial-granted", "part", fmt.Sprintf("%016x", uint64(query.Part)), "to", string(from))
@@ -29,9 +29,19 @@
 	return codec.Marshal(granted)
 }
 
-// restartTrials replaces the schedule of trials while this host isn't the leader. The lock must be held.
-func (h *Hub) restartTrials(now unit.Moment, leads bool) {
-	if !leads {
+// updateTrials replaces the schedule of trials if another host may have granted trials since this host used it. It reports whether this host
+// is the leader. The lock must be held.
+//
+// A term has one leader at most, and a lease in an earlier term has ended when one in a later term begins. So no other host held the
+// lease between two moments at which this host held it in the same term or in two terms that follow each other.
+func (h *Hub) updateTrials(now unit.Moment) bool {
+	term := h.leaderTerm(now)
+	if term == 0 {
+		return false
+	}
+	if h.trialsTerm == 0 || term != h.trialsTerm && term != h.trialsTerm+1 {
 		h.trials = parttrial.New(now)
 	}
+	h.trialsTerm = term
+	return true
 }
