Front: limits for headers of the routing table

The front didn't read MaxHeaderBytes and HeaderTimeoutMs of the table: net/http takes both from fields of a server that must not change while it serves. The new package internal/network/httpserver gives connections that are accepted after a change a server of their own; earlier ones keep theirs. The limit of connections follows a larger header, and a lowered limit closes waiting ones.

--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -26,10 +26,12 @@
 	"github.com/citronglade/citronglade/internal/host/gateway"
 	"github.com/citronglade/citronglade/internal/host/hub"
 	"github.com/citronglade/citronglade/internal/network/connections"
+	"github.com/citronglade/citronglade/internal/network/httpserver"
 	"github.com/citronglade/citronglade/internal/network/identity"
 	"github.com/citronglade/citronglade/internal/network/keys"
 	"github.com/citronglade/citronglade/internal/network/kind"
 	"github.com/citronglade/citronglade/internal/network/link"
+	"github.com/citronglade/citronglade/internal/planning/table"
 )
 
 const (
@@ -45,11 +47,11 @@
 	answerShare = 0.92
 	// shutdownShare is the fraction of the stop's grace period after which connections are closed whose requests haven't ended yet.
 	shutdownShare = 0.94
-	// headerTimeout bounds the time to send a request's header, and idleTimeout the lifetime of an idle connection. The routing
-	// table's limits for well-behaved callers are shorter.
+	// headerTimeout bounds the time to send a request's header, unless the routing table states a time for callers, and idleTimeout the
+	// lifetime of an idle connection.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = time.Minute
-	// maxHeaderBytes bounds the size of a request's header; net/http accepts 4 KiB more. Routing tables allow callers 16 KiB.
+	// maxHeaderBytes bounds the size of a request's header, unless the routing table states a size for callers; net/http accepts 4 KiB more.
 	maxHeaderBytes = 20 << 10
 	// writeTimeout bounds the time to write an answer of the listeners that callers don't use. The largest ones, the table and the metrics,
 	// take milliseconds. The handler for callers has its own limits.
@@ -94,13 +96,10 @@
 	stopping atomic.Bool
 }
 
-// server is one HTTP server with its socket.
+// server is the HTTP server of one listener.
 type server struct {
-	*http.Server
-	socket        net.Listener
+	*httpserver.Server
 	servesCallers bool // drain closes only these servers
-	connections   atomic.Int64
-	clients       *connections.Limit
 }
 
 // New opens the listeners of the host's roles. It fails with fault.BadSetting.
@@ -139,19 +138,51 @@
 			p.log.Warn("bodies-given-up", "for-memory", r.ForMemory, "for-time", r.ForTime, "used-bytes", r.UsedBytes)
 		},
 	})
-	p.clients = connections.New(connections.Most(machine.Descriptors(s.Descriptors), s.MemoryBytes, maxHeaderBytes), p.bodies.GiveUpOne)
+	p.clients = connections.New(p.maxConnections(maxHeaderBytes), p.bodies.GiveUpOne)
+}
+
+// maxConnections returns the limit of connections whose clients send headers of at most the given size.
+func (p *Process) maxConnections(headerBytes int64) int {
+	return connections.Most(machine.Descriptors(p.settings.Descriptors), p.settings.MemoryBytes, max(headerBytes, maxHeaderBytes))
+}
+
+// callerTable returns the routing table of the entry role, nil without one.
+func (p *Process) callerTable() *table.Table {
+	if p.gateway == nil {
+		return nil
+	}
+	return p.gateway.Handler().Table()
 }
 
 // bodyTimeout returns the time without progress after which a body is given up.
 func (p *Process) bodyTimeout() time.Duration {
-	if p.gateway != nil {
-		if t := p.gateway.Handler().Table(); t != nil {
-			return max(t.IdleTimeout, bodymemory.DefaultIdleTimeout)
-		}
+	if t := p.callerTable(); t != nil {
+		return max(t.IdleTimeout, bodymemory.DefaultIdleTimeout)
 	}
 	return bodymemory.DefaultIdleTimeout
 }
 
+// defaultHeaderLimits returns the limits for headers where no routing table states others.
+func defaultHeaderLimits() httpserver.Limits {
+	return httpserver.Limits{Bytes: maxHeaderBytes, Timeout: headerTimeout}
+}
+
+// callerHeaderLimits returns the limits for the headers of callers.
+func (p *Process) callerHeaderLimits() httpserver.Limits {
+	limits := defaultHeaderLimits()
+	t := p.callerTable()
+	if t == nil {
+		return limits
+	}
+	if t.MaxHeader > 0 {
+		limits.Bytes = int(min(t.MaxHeader, connections.MaxHeaderBytes(p.settings.MemoryBytes)))
+	}
+	if t.HeaderTimeout > 0 {
+		limits.Timeout = t.HeaderTimeout
+	}
+	return limits
+}
+
 // sweepClients gives up bodies that make no progress, and logs what was given up and closed since the last call.
 func (p *Process) sweepClients(context.Context) {
 	p.bodies.Sweep()
@@ -200,15 +231,18 @@
 	if err != nil {
 		return fault.BadSetting.Wrap(err, "cannot listen on %s", address)
 	}
-	s := &server{socket: socket, servesCallers: servesCallers, clients: p.clients}
-	s.Server = &http.Server{
-		Handler: p.bodies.Handler(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ConnState: s.countConnection,
-	}
-	if !servesCallers {
-		s.WriteTimeout = writeTimeout
+	counted := p.bodies.Handler(handler)
+	options := httpserver.Options{Limits: defaultHeaderLimits, Track: p.clients.Track, Configure: func(httpserver.Limits) *http.Server {
+		return &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout}
+	}}
+	if servesCallers {
+		options.Limits = p.callerHeaderLimits
+		options.Configure = func(limits httpserver.Limits) *http.Server {
+			p.clients.SetMost(p.maxConnections(int64(limits.Bytes)))
+			return &http.Server{Handler: counted, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		}
 	}
-	p.servers = append(p.servers, s)
+	p.servers = append(p.servers, &server{Server: httpserver.New(socket, options), servesCallers: servesCallers})
 	return nil
 }
 
@@ -304,7 +338,7 @@
 }
 
 func (s *server) serve(work context.Context) error {
-	err := s.Serve(s.socket)
+	err := s.Serve()
 	if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 		// Serve returns as soon as the listener is closed, while requests are still running. This actor must not end before them.
 		<-work.Done()
@@ -313,24 +347,6 @@
 	return fault.Internal.Wrap(err, "cannot serve")
 }
 
-func (s *server) countConnection(c net.Conn, state http.ConnState) {
-	s.clients.Track(c, state)
-	switch state {
-	case http.StateNew:
-		s.connections.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.connections.Add(-1)
-	case http.StateActive, http.StateIdle:
-	}
-}
-
-// stopListening closes the listener and the idle connections. Others are closed after their next answer. Unlike Shutdown, it doesn't close a
-// connection without an answer to a request that comes after it.
-func (s *server) stopListening() error {
-	s.SetKeepAlivesEnabled(false)
-	return s.socket.Close()
-}
-
 // drain waits for the running requests of an entry host, at most for the stop's grace period. The readiness check fails first; the host
 // accepts requests until the load balancer has noticed, and refuses those that come later on open connections.
 func (p *Process) drain() {
@@ -357,7 +373,7 @@
 	connections := func() (open int64) {
 		for _, s := range p.servers {
 			if s.servesCallers {
-				open += s.connections.Load()
+				open += s.Connections()
 			}
 		}
 		return open
@@ -366,7 +382,7 @@
 		if !s.servesCallers {
 			continue
 		}
-		if err := s.stopListening(); err != nil {
+		if err := s.StopListening(); err != nil {
 			p.log.Warn("listener-not-closed", "cause", err.Error())
 		}
 	}
--- a/internal/network/connections/limit.go
+++ b/internal/network/connections/limit.go
@@ -22,6 +22,8 @@
 	// its client sends: both buffers and the stack.
 	memoryShare     = 3
 	connectionBytes = 16 << 10
+	// maxHeaderBytes is the largest header on any machine.
+	maxHeaderBytes = 64 << 20
 )
 
 var (
@@ -46,12 +48,20 @@
 	return max(most, minConnections)
 }
 
+// MaxHeaderBytes returns the largest header for which Most returns at least its smallest limit within the memory, which is 0 if it isn't known.
+func MaxHeaderBytes(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return maxHeaderBytes
+	}
+	return min(max(memoryBytes/memoryShare/minConnections-connectionBytes, connectionBytes), maxHeaderBytes)
+}
+
 // Limit counts the connections of all listeners of a host and closes those beyond the limit. It is safe for concurrent use.
 type Limit struct {
-	most    int
 	reclaim func() bool
 
 	mu      sync.Mutex
+	most    int
 	open    map[net.Conn]*list.Element // nil while a request is served
 	waiting list.List                  // connections without a complete header, the one that has waited longest first
 	report  Report
@@ -69,13 +79,21 @@
 	return &Limit{most: most, reclaim: reclaim, open: map[net.Conn]*list.Element{}}
 }
 
+// SetMost replaces the limit, which must not be 0 before or afterwards. If it is lowered, connections that wait for a request are closed when the
+// next one is opened.
+func (l *Limit) SetMost(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+}
+
 // Track is called for each change of a connection's state; see http.Server.ConnState.
 func (l *Limit) Track(c net.Conn, state http.ConnState) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if l.most <= 0 {
 		return
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	element, known := l.open[c]
 	switch {
 	case !known && state != http.StateNew:
@@ -98,17 +116,18 @@
 // makeRoom adds a new connection, and closes one if there are too many: the one that has waited longest for a request, or else the new one
 // unless a request is given up for it.
 func (l *Limit) makeRoom(c net.Conn) {
+	for len(l.open) > l.most && l.waiting.Len() > 0 { // the limit was lowered
+		l.closeWaiting()
+	}
 	if len(l.open) >= l.most {
-		l.report.Closed++
-		oldest := l.waiting.Front()
 		switch {
-		case oldest != nil:
-			closedIdle.Inc()
-			l.waiting.Remove(oldest)
-			l.close(oldest.Value.(net.Conn)) //nolint:forcetypeassert // the list holds connections only
+		case l.waiting.Len() > 0:
+			l.closeWaiting()
 		case l.reclaim():
+			l.report.Closed++
 			closedForBody.Inc()
 		default:
+			l.report.Closed++
 			closedAtOnce.Inc()
 			l.close(c)
 			return
@@ -117,6 +136,13 @@
 	l.open[c] = l.waiting.PushBack(c)
 }
 
+// closeWaiting closes the connection that has waited longest for a request. There must be one.
+func (l *Limit) closeWaiting() {
+	l.report.Closed++
+	closedIdle.Inc()
+	l.close(l.waiting.Remove(l.waiting.Front()).(net.Conn)) //nolint:forcetypeassert // the list holds connections only
+}
+
 // close closes a connection without waiting for its client.
 func (l *Limit) close(c net.Conn) {
 	delete(l.open, c)
--- a/internal/network/connections/limit_test.go
+++ b/internal/network/connections/limit_test.go
@@ -60,6 +60,36 @@
 	assert.Equal(t, l.waiting.Len(), 0)
 }
 
+// Guards against a lowered limit that leaves more connections open, and against one that cuts running requests.
+func TestALoweredLimitClosesWaitingConnections(t *testing.T) {
+	l := New(6, func() bool { return false })
+	var opened [7]*connection
+	for i := range opened {
+		opened[i] = &connection{}
+		if i == 6 {
+			l.SetMost(3)
+		}
+		l.Track(opened[i], http.StateNew)
+		if i < 2 {
+			l.Track(opened[i], http.StateActive)
+		}
+	}
+	assert.Equal(t, l.Report(), Report{Closed: 4, Open: 3})
+	for i, c := range opened {
+		assert.Equal(t, c.closed, i >= 2 && i < 6, i)
+	}
+}
+
+// Guards against headers of which the memory doesn't hold the fewest connections.
+func TestMaxHeaderBytes(t *testing.T) {
+	cases := []struct{ memory, most int64 }{
+		{0, maxHeaderBytes}, {112 << 20, 2_430_293}, {1 << 20, connectionBytes}, {1 << 40, maxHeaderBytes},
+	}
+	for _, c := range cases {
+		assert.Equal(t, MaxHeaderBytes(c.memory), c.most)
+	}
+}
+
 // Guards against limits that leave too few descriptors, or no connections at all.
 func TestMost(t *testing.T) {
 	cases := []struct {
--- a/internal/planning/table/table.go
+++ b/internal/planning/table/table.go
@@ -116,6 +116,9 @@
 	MaxBody int64 `cbor:"5,keyasint,omitempty"`
 	// IdleTimeout is the longest pause of a caller within a request; 0 means that the table states none.
 	IdleTimeout time.Duration `cbor:"6,keyasint,omitempty"`
+	// MaxHeader is the largest header of a request, in bytes, and HeaderTimeout the longest time to send one; 0 means that the table states none.
+	MaxHeader     int64         `cbor:"7,keyasint,omitempty"`
+	HeaderTimeout time.Duration `cbor:"8,keyasint,omitempty"`
 
 	byHost             map[string][]*Route // longest prefix first
 	byService          map[ServiceName]*Service
