Bodies: wait for buffers that are given up, use large ones again

Cause: the memory of a body that was given up counted as free while its buffer was still in use, and each body of 4 MB left as much garbage when it grew.

Change: the memory is free when the goroutine that reads the body has dropped the buffer, and bodies that need it wait for that. Buffers over 64 KiB are kept for up to a second within the memory that bodies don't take.

Passed: go test -race -count=5 ./internal/callers/bodymemory.

--- a/internal/callers/bodymemory/body.go
+++ b/internal/callers/bodymemory/body.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +38,7 @@
 	progress   int64       // bytes that had arrived by then
 	givenUp    error       // nil unless the body was given up
 	arrived    bool        // completely
+	dropping   bool        // given up, and its buffer isn't dropped yet
 }
 
 func (b *Budget) open(w http.ResponseWriter, r *http.Request) *body {
@@ -79,7 +79,7 @@
 	d.budget.mu.Lock()
 	defer d.budget.mu.Unlock()
 	delete(d.budget.reading, d)
-	d.share.Close()
+	d.release()
 	if d.arrived || d.givenUp != nil {
 		return false
 	}
@@ -87,8 +87,21 @@
 	return true
 }
 
-// grow takes memory for more bytes. It fails with fault.Overloaded or with the reason for which the body was given up.
-func (d *body) grow(bytes int64) error {
+// grow returns a buffer of the given size with the data, whose buffer it keeps for other bodies. It fails with fault.Overloaded or with the reason
+// for which the body was given up.
+func (d *body) grow(data []byte, size int64) ([]byte, error) {
+	larger, err := d.take(size, size-int64(cap(data)))
+	if err != nil {
+		return nil, err
+	}
+	larger = append(larger, data...)
+	d.budget.keep(data)
+	return larger, nil
+}
+
+// take returns an empty buffer of the given size, which takes that many bytes more than the body has. If there is no memory, it waits until a
+// body that is given up for it has dropped its buffer.
+func (d *body) take(size, bytes int64) ([]byte, error) {
 	b := d.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -98,14 +111,18 @@
 	}
 	for {
 		if d.givenUp != nil {
-			return d.givenUp
+			return nil, d.givenUp
 		}
 		err := d.share.Grow(bytes)
-		if err == nil {
-			return nil
-		}
-		if !b.giveUpSlowest(least) {
-			return full(err)
+		switch {
+		case err == nil:
+			buffer := b.spare.take(size)
+			b.spare.limit(b.options.Bytes - b.memory.Used())
+			return buffer, nil
+		case b.dropping > 0:
+			b.dropped.Wait()
+		case !b.giveUpSlowest(least):
+			return nil, full(err)
 		}
 	}
 }
@@ -130,13 +147,37 @@
 	}
 }
 
-// giveUp ends the reading of the body. Its memory counts as free at once: the goroutine that reads it drops the buffer as soon as it runs.
-// The budget's lock must be held.
+// giveUp ends the reading of the body. The goroutine that reads it drops the buffer and returns the memory as soon as it runs. The budget's
+// lock must be held.
 func (d *body) giveUp(reason error) {
 	d.givenUp = reason
 	delete(d.budget.reading, d)
+	failed := d.setReadDeadline(time.Unix(1, 0)) != nil
+	if failed || d.share.Bytes() == 0 {
+		d.share.Close()
+	} else {
+		d.dropping = true
+		d.budget.dropping++
+	}
+	d.budget.dropped.Broadcast() // the body itself may be waiting for memory
+}
+
+// release returns the memory. The budget's lock must be held.
+func (d *body) release() {
 	d.share.Close()
-	_ = d.setReadDeadline(time.Unix(1, 0))
+	if d.dropping {
+		d.dropping = false
+		d.budget.dropping--
+		d.budget.dropped.Broadcast()
+	}
+}
+
+// drop returns the memory of a body that is refused, whose buffer is kept for other bodies.
+func (d *body) drop(data []byte) {
+	d.budget.mu.Lock()
+	defer d.budget.mu.Unlock()
+	d.release()
+	d.budget.spare.put(data, d.budget.options.Bytes-d.budget.memory.Used())
 }
 
 // setReadDeadline sets the deadline for reading from the connection. The server removes it at the end of the body. The handler must not
@@ -155,6 +196,18 @@
 	if r.ContentLength > limit {
 		return nil, fault.TooLarge.New("the body has %d bytes, at most %d are allowed", r.ContentLength, limit)
 	}
+	data, err := read(r, counted, limit)
+	if err != nil {
+		if counted != nil {
+			counted.drop(data)
+		}
+		return nil, err
+	}
+	return data, nil
+}
+
+// read returns what it has read also if it fails.
+func read(r *http.Request, counted *body, limit int64) ([]byte, error) {
 	most := limit + 1
 	if r.ContentLength > 0 {
 		most = r.ContentLength + 1 // the last byte stays free, so that the end is found without another piece
@@ -164,22 +217,24 @@
 		if len(data) == cap(data) {
 			size := min(max(firstBytes, 2*int64(cap(data))), most)
 			if counted != nil {
-				if err := counted.grow(size - int64(cap(data))); err != nil {
-					return nil, err
+				larger, err := counted.grow(data, size)
+				if err != nil {
+					return data, err
 				}
+				data = larger
+			} else {
+				data = append(make([]byte, 0, size), data...)
 			}
-			data = slices.Grow(data, int(size)-len(data))
-			data = data[:len(data):size]
 		}
 		n, err := r.Body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
 		switch {
 		case int64(len(data)) > limit:
-			return nil, fault.TooLarge.New("the body has more than %d bytes", limit)
+			return data, fault.TooLarge.New("the body has more than %d bytes", limit)
 		case errors.Is(err, io.EOF):
 			return data, nil
 		case err != nil:
-			return nil, readFailure(r, err)
+			return data, readFailure(r, err)
 		}
 	}
 }
--- a/internal/callers/bodymemory/budget.go
+++ b/internal/callers/bodymemory/budget.go
@@ -59,9 +59,12 @@
 	options Options
 	memory  *buffermemory.Budget
 
-	mu      sync.Mutex
-	reading map[*body]struct{} // that haven't arrived completely
-	report  Report
+	mu       sync.Mutex
+	reading  map[*body]struct{} // that haven't arrived completely
+	dropping int                // bodies that were given up and whose buffers aren't dropped yet
+	dropped  sync.Cond          // a buffer was dropped, or a body given up
+	spare    spare              // within the memory that bodies don't take
+	report   Report
 }
 
 // New returns a budget.
@@ -69,7 +72,16 @@
 	if o.Bytes <= 0 {
 		o.Bytes = defaultBytes
 	}
-	return &Budget{options: o, memory: buffermemory.New(o.Bytes, fault.Overloaded), reading: map[*body]struct{}{}}
+	b := &Budget{options: o, memory: buffermemory.New(o.Bytes, fault.Overloaded), reading: map[*body]struct{}{}}
+	b.dropped.L = &b.mu
+	return b
+}
+
+// keep keeps a buffer for other bodies, if there is memory for it.
+func (b *Budget) keep(buffer []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.spare.put(buffer, b.options.Bytes-b.memory.Used())
 }
 
 // Handler returns a handler that counts the bodies of the requests to next. Their memory is returned when next has returned.
@@ -100,6 +112,7 @@
 	}
 	report := b.report
 	b.report = Report{}
+	b.spare.limit(0) // what isn't used again within a second is garbage
 	b.mu.Unlock()
 	if report.ForMemory+report.ForTime > 0 {
 		report.UsedBytes = b.memory.Used()
--- a/internal/host/platformhost/process.go
+++ b/internal/host/platformhost/process.go
@@ -60,8 +60,8 @@
 	// garbage is collected more often.
 	memoryLimitShare = 0.7
 	// bodyMemoryShare is the fraction of the process's memory for the bodies of requests: four of the largest in an entry host of 112 MB,
-	// beside small ones. With a quarter, 40 clients that stop short of 4 MB took up to 107 of 112 MB on a busy machine, because bodies that
-	// are given up are only freed when their goroutines run.
+	// beside small ones. With a quarter, 40 clients that stop short of 4 MB took up to 107 of 112 MB on a busy machine, when the memory of bodies
+	// that were given up still counted as free before their buffers were dropped.
 	bodyMemoryShare = 0.2
 	// messageMemoryShare is the fraction of the process's memory for messages of other hosts.
 	messageMemoryShare = 0.25
