Tests: all kinds of clients that exceed limits at once

Each kind was tested alone. The new case sends 40 clients of each kind in turns, 320 together, to each listener that takes bodies, with the bounds of the others.

--- a/test/hostileclients/crowd_test.go
+++ b/test/hostileclients/crowd_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -49,7 +50,16 @@
 }
 
 func crowds(head string) []crowd {
-	return append(bodyCrowds(head), headerCrowds(head)...)
+	kinds := append(bodyCrowds(head), headerCrowds(head)...)
+	return append(kinds, together(kinds))
+}
+
+// together returns a crowd with bodyClients clients of each kind, in turns.
+func together(kinds []crowd) crowd {
+	var sent atomic.Uint64
+	return crowd{"all kinds at once", bodyClients * len(kinds), func(w *bufio.Writer) error {
+		return kinds[sent.Add(1)%uint64(len(kinds))].send(w)
+	}}
 }
 
 // bodyCrowds returns the clients whose bodies stop short of their end. head is the head of a request that may have a body.
