Read the rest of refused bodies up to 16 MiB

The hosts of the host verb accept 8 MiB, twice the size that the bound was made for. Change: up to 16 MiB are read, for at most a second as before.

--- a/internal/callers/bodymemory/body.go
+++ b/internal/callers/bodymemory/body.go
@@ -20,8 +20,8 @@
 const (
 	// serverDrainBytes is the size up to which net/http reads the rest of a body before it answers.
 	serverDrainBytes = 256 << 10
-	// maxDrainBytes bounds what is read of a larger one: the largest body that routing tables allow by default, and as much again.
-	maxDrainBytes = 8 << 20
+	// maxDrainBytes bounds what is read of a larger one: the largest body that a host accepts, 8 MiB, and as much again.
+	maxDrainBytes = 16 << 20
 )
 
 // body is the body of one request.
--- a/internal/callers/bodymemory/drain_test.go
+++ b/internal/callers/bodymemory/drain_test.go
@@ -23,11 +23,11 @@
 		w.WriteHeader(http.StatusRequestEntityTooLarge)
 	})))
 	defer server.Close()
-	for range 5 {
+	for i := range 12 {
 		client, err := net.Dial("tcp", server.Listener.Addr().String()) //nolint:noctx // loopback
 		assert.NilError(t, err)
 		assert.NilError(t, client.SetDeadline(time.Now().Add(10*time.Second)))
-		const length = 6 << 20
+		length := []int{6 << 20, 9 << 20, 15 << 20}[i%3]
 		_, err = fmt.Fprintf(client, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", length)
 		assert.NilError(t, err)
 		_, err = client.Write(make([]byte, length)) // reads the answer only after the whole body
