--- a/internal/routing/assign/load_estimate.go
+++ b/internal/routing/assign/load_estimate.go
@@ -138,9 +138,9 @@
 	f.spare += max(0, float64(spare))
 }
 
-// level is the amount in one of several vessels.
+// level is the load of one engine and the weight of that engine.
 type level struct {
-	amount, width float64
+	amount, weight float64
 }
 
 // waterLevel returns the height up to which the amount fills the lowest of the levels.
@@ -152,14 +152,14 @@
 	return weightedWaterLevel(weighted, amount)
 }
 
-// weightedWaterLevel is waterLevel for vessels of different widths. The height of a level is its amount divided by its width.
+// weightedWaterLevel is waterLevel for engines of different weights. The height of a level is its amount divided by its weight.
 func weightedWaterLevel(levels []level, amount float64) float64 {
-	slices.SortFunc(levels, func(a, b level) int { return cmp.Compare(a.amount/a.width, b.amount/b.width) })
-	sum, width := amount, 0.0
+	slices.SortFunc(levels, func(a, b level) int { return cmp.Compare(a.amount/a.weight, b.amount/b.weight) })
+	sum, weight := amount, 0.0
 	for i, l := range levels {
-		sum, width = sum+l.amount, width+l.width
-		height := sum / width
-		if i+1 == len(levels) || height <= levels[i+1].amount/levels[i+1].width {
+		sum, weight = sum+l.amount, weight+l.weight
+		height := sum / weight
+		if i+1 == len(levels) || height <= levels[i+1].amount/levels[i+1].weight {
 			return height
 		}
 	}
