Open the log after a power loss that undid some removals of segments

The loader took any gap for damage.

Change: after a gap the loader starts anew with the next segment, whose first record has the hard state.

--- a/internal/agreement/journal/journal.go
+++ b/internal/agreement/journal/journal.go
@@ -34,6 +34,7 @@
 	failure  error // the first failed write or sync; nothing is written after it
 
 	hardState       quorum.HardState
+	logEnd          quorum.Index  // index of the last entry that was written
 	snapshotIndex   atomic.Uint64 // index of the newest durable snapshot
 	rotateRequested atomic.Bool   // close the segment before the next record if it is large enough
 	nextSequence    uint64        // sequence number of the next record
@@ -190,8 +191,12 @@
 	}
 	s := &j.segments[len(j.segments)-1]
 	for _, change := range j.pending {
+		if change.Reset != nil {
+			j.logEnd = *change.Reset
+		}
 		if len(change.Entries) > 0 {
-			s.lastIndex = max(s.lastIndex, change.Entries[len(change.Entries)-1].Index)
+			j.logEnd = change.Entries[len(change.Entries)-1].Index
+			s.lastIndex = max(s.lastIndex, j.logEnd)
 		}
 	}
 	j.pending, j.pendingBytes = nil, 0
@@ -267,8 +272,8 @@
 	}
 	j.current = file
 	j.segments = append(j.segments, segment{name: name})
-	hard := j.hardState
-	if err := j.writeRecord([]logChange{{HardState: &hard}}); err != nil {
+	hard, end := j.hardState, j.logEnd
+	if err := j.writeRecord([]logChange{{HardState: &hard, LogEnd: &end}}); err != nil {
 		return err
 	}
 	return j.syncFolder()
@@ -293,7 +298,8 @@
 	return nil
 }
 
-// removeCoveredSegments removes the oldest segments, as long as all their entries are covered by a durable snapshot.
+// removeCoveredSegments removes the oldest segments, as long as all their entries are covered by a durable snapshot. The folder isn't
+// synced in between: after a loss of power any of them may be back, which load allows for.
 func (j *Journal) removeCoveredSegments() error {
 	keep := 0
 	for keep < len(j.segments)-1 && uint64(j.segments[keep].lastIndex) <= j.snapshotIndex.Load() {
--- a/internal/agreement/journal/load.go
+++ b/internal/agreement/journal/load.go
@@ -15,11 +15,13 @@
 	"github.com/citronglade/citronglade/internal/base/fault"
 )
 
-// replay is the state after the log records read so far.
+// replay is the state after the log records read so far, from the first segment or from the last gap between segments on.
 type replay struct {
 	hardState  quorum.HardState
 	entries    []quorum.Entry
 	resetIndex *quorum.Index // set by a reset: the index that the next entry must follow
+	logEnd     *quorum.Index // index of the last entry before the first segment read, nil if the segment doesn't say
+	afterGap   bool          // segments are missing before the first one read
 }
 
 func (j *Journal) load() (quorum.Loaded, error) {
@@ -49,12 +51,27 @@
 	j.hardState = replayed.hardState
 	j.snapshotIndex.Store(uint64(snapshot.Index))
 	entries, err := replayed.entriesAfter(snapshot)
-	if len(entries) == 0 && snapshot.Index > 0 {
+	if err != nil {
+		return quorum.Loaded{}, fault.Corrupt.Wrap(err, "folder %s contains the segments %v and a snapshot up to entry %d", j.cfg.Folder,
+			j.segmentNames(), snapshot.Index)
+	}
+	j.logEnd = snapshot.Index
+	if len(entries) > 0 {
+		j.logEnd = entries[len(entries)-1].Index
+	} else if snapshot.Index > 0 {
 		// A crash may have happened after the snapshot was saved and before the record that resets the log was written. The
 		// reset is repeated here, since otherwise the next entry would not follow the entries in the log.
 		j.pending = append(j.pending, logChange{Reset: &snapshot.Index})
 	}
-	return quorum.Loaded{HardState: replayed.hardState, Snapshot: snapshot, Entries: entries}, err
+	return quorum.Loaded{HardState: replayed.hardState, Snapshot: snapshot, Entries: entries}, nil
+}
+
+func (j *Journal) segmentNames() []string {
+	var names []string
+	for _, s := range j.segments {
+		names = append(names, s.name)
+	}
+	return names
 }
 
 // removeTemporary removes temporary files that a crash left behind.
@@ -108,13 +125,22 @@
 }
 
 // loadSegment reads one segment. In the last segment, an incomplete record at the end is removed.
+//
+// If segments are missing before it, reading starts anew with this one, which has the hard state: a loss of power may undo any of the
+// removals since the last sync of the folder. Whether the snapshot covers what is missing is checked in entriesAfter. The segments before
+// the gap have no entry that is needed, and are removed with the next covered ones.
 func (j *Journal) loadSegment(name string, last bool, replayed *replay) error {
 	data, err := j.cfg.Files.Read(j.path(name))
 	if err != nil {
 		return diskError(err, "cannot read segment %s", name)
 	}
-	if len(j.segments) == 0 {
-		// The sequence number of the first record in the oldest segment is only known from the segment's name.
+	gap := len(j.segments) > 0 && name > segmentName(j.nextSequence)
+	if len(j.segments) == 0 || gap {
+		*replayed = replay{afterGap: gap}
+		for i := range j.segments {
+			j.segments[i].lastIndex = 0
+		}
+		// The sequence number of the first record is only known from the segment's name.
 		if _, err := fmt.Sscanf(name, segmentPrefix+"%d", &j.nextSequence); err != nil {
 			return fault.Corrupt.Wrap(err, "segment name %s contains no sequence number", name)
 		}
@@ -136,6 +162,9 @@
 		}
 		s.size += int64(headerBytes + len(payload))
 	}
+	if gap && s.size == 0 {
+		return fault.Corrupt.New("segments are missing before segment %s, which contains no complete record", name)
+	}
 	return j.finishSegment(s, int64(len(data)), last)
 }
 
@@ -232,6 +261,9 @@
 	if change.HardState != nil {
 		r.hardState = *change.HardState
 	}
+	if change.LogEnd != nil && r.logEnd == nil && len(r.entries) == 0 {
+		r.logEnd = change.LogEnd
+	}
 	if change.Reset != nil {
 		r.entries, r.resetIndex = nil, change.Reset
 	}
@@ -265,10 +297,11 @@
 }
 
 // entriesAfter returns the entries that follow the snapshot. There are none if the term of the entry at the snapshot's index
-// differs from the snapshot: the entries then belong to a log that the snapshot replaced just before a crash.
+// differs from the snapshot: the entries then belong to a log that the snapshot replaced just before a crash. It fails with fault.Corrupt
+// if entries may be missing between the snapshot and the segments that were read.
 func (r *replay) entriesAfter(s quorum.Snapshot) ([]quorum.Entry, error) {
 	if len(r.entries) == 0 {
-		return nil, nil
+		return nil, r.checkCovered(s)
 	}
 	first := r.entries[0].Index
 	last := r.entries[len(r.entries)-1].Index
@@ -283,3 +316,21 @@
 	}
 	return r.entries[s.Index+1-first:], nil
 }
+
+// checkCovered fails if a log without entries may have lost some that the snapshot doesn't cover.
+func (r *replay) checkCovered(s quorum.Snapshot) error {
+	before := r.logEnd
+	if r.resetIndex != nil {
+		before = r.resetIndex
+	}
+	if before == nil {
+		if r.afterGap {
+			return fault.Corrupt.New("segments are missing, and nothing says that the snapshot covers them")
+		}
+		return nil
+	}
+	if *before > s.Index {
+		return fault.Corrupt.New("entries up to %d are missing and the newest snapshot ends with %d", *before, s.Index)
+	}
+	return nil
+}
--- a/internal/agreement/journal/record.go
+++ b/internal/agreement/journal/record.go
@@ -25,11 +25,13 @@
 )
 
 // logChange is one change of the stored state. Reset empties the log, which continues after the snapshot with this index.
-// Entries replace all stored entries from the index of the first one on.
+// Entries replace all stored entries from the index of the first one on. LogEnd is in the first record of a segment only: the index of
+// the last entry in the log before it, so that a reader knows which snapshots cover the segments before.
 type logChange struct {
 	HardState *quorum.HardState `cbor:"1,keyasint,omitempty"`
 	Reset     *quorum.Index     `cbor:"2,keyasint,omitempty"`
 	Entries   []quorum.Entry    `cbor:"3,keyasint,omitempty"`
+	LogEnd    *quorum.Index     `cbor:"4,keyasint,omitempty"`
 }
 
 // encodeRecord returns the payload with a header of magic number, length, sequence number and checksum.
