Let a host with a damaged log join its group again

Five voters are four from then on, and nothing but these lines says so.

Cause: fault.Corrupt was treated like a disk that refuses writes for a while.

Change: logfolder opens a group's log. A damaged one stays where it is; the host begins an empty one beside it and joins the group as after the loss of its disk, in the place of its former identity. It never forms a group.

--- a/internal/agreement/member/member.go
+++ b/internal/agreement/member/member.go
@@ -12,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/citronglade/citronglade/internal/agreement/journal"
+	"github.com/citronglade/citronglade/internal/agreement/logfolder"
 	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/unit"
 )
@@ -26,9 +27,10 @@
 
 // Member is one member of a group. Its methods are safe for concurrent use.
 type Member struct {
-	cfg     Config
-	machine StateMachine
-	journal *journal.Journal
+	cfg       Config
+	machine   StateMachine
+	journal   *journal.Journal
+	leftAside LeftAside
 	// Only the goroutine of runCore uses node and stopping.
 	node     *quorum.Node
 	stopping bool
@@ -54,17 +56,26 @@
 	pending     pendingCalls
 }
 
-// New opens the journal in the folder and restores the state machine from its snapshot. It fails with fault.Corrupt,
-// fault.DiskFailed or fault.DiskFull if the journal can't be opened, and with fault.BadSetting if a setting is missing or the
-// folder is in use.
+// New opens the journal in the folder and restores the state machine from its snapshot. A damaged journal is left aside, and the member
+// joins the group anew. New fails with fault.DiskFailed or fault.DiskFull if the journal can't be opened, and with fault.BadSetting if a
+// setting is missing or the folder is in use.
 func New(cfg Config, machine StateMachine) (*Member, error) {
 	if err := cfg.checkAndSetDefaults(); err != nil {
 		return nil, err
 	}
-	j, loaded, err := journal.Open(journal.Config{Folder: cfg.Folder, Files: cfg.Files})
+	opened, err := logfolder.Open(journal.Config{Folder: cfg.Folder, Files: cfg.Files})
 	if err != nil {
 		return nil, err
 	}
+	j, loaded := opened.Journal, opened.Loaded
+	left := LeftAside{Folder: opened.LeftAside}
+	if left.Folder != "" {
+		cfg.Join = true // the group exists, and a new one would begin without what it has stored
+	}
+	if opened.Damage != nil {
+		left.Cause = opened.Damage.Error()
+		klog.Errorf("member: group %d on %s joins anew, its log in %s is damaged: %s", cfg.Group, cfg.Self, left.Folder, left.Cause)
+	}
 	if loaded.Snapshot.Index > 0 {
 		if err := machine.Restore(loaded.Snapshot.Data); err != nil {
 			_ = j.Close()
@@ -73,7 +84,7 @@
 	}
 	self := quorum.NewNodeID(cfg.Self, j.Identity())
 	m := &Member{
-		cfg: cfg, machine: machine, journal: j,
+		cfg: cfg, machine: machine, journal: j, leftAside: left,
 		node:            quorum.New(cfg.coreConfig(self), loaded, cfg.Now()),
 		inbox:           make(chan *quorum.Message, maxInboxMessages),
 		requests:        make(chan *request, maxBatchRequests),
@@ -157,6 +168,13 @@
 	LastContactAt unit.Moment   // when the member last heard the leader; on the leader, when it last heard a quorum
 	Candidates    []string      // hosts that ask to join and aren't members
 	Silent        []string      // on the leader: members that haven't acknowledged its heartbeats for quorum.SilentAfter
+	LeftAside     LeftAside
+}
+
+// LeftAside is a damaged log whose place the member's log has taken. It is zero if there is none.
+type LeftAside struct {
+	Folder string
+	Cause  string // why it couldn't be opened, empty if that happened before the last start
 }
 
 // Status returns the current state.
@@ -168,7 +186,7 @@
 		Commit: uint64(s.Commit), Applied: m.applied.Load(), Voters: nodeIDStrings(s.Configuration.Voters),
 		Learners: nodeIDStrings(s.Configuration.Learners), LogBytes: m.logBytes.Load(),
 		LastSync: time.Duration(m.lastSync.Load()), Failed: s.Failed,
-		LastContactAt: s.LastContactAt, Candidates: s.Candidates, Silent: s.Silent,
+		LastContactAt: s.LastContactAt, Candidates: s.Candidates, Silent: s.Silent, LeftAside: m.leftAside,
 	}
 }
 
--- a/internal/agreement/member/member_test.go
+++ b/internal/agreement/member/member_test.go
@@ -298,3 +298,124 @@
 		assert.Equal(t, (<-r.done).err != nil, failed)
 	}
 }
+
+// damageFile flips a byte in the middle of the first file that matches the pattern and returns the content before.
+func damageFile(t *testing.T, pattern string) (path string, before []byte) {
+	t.Helper()
+	paths, err := filepath.Glob(pattern)
+	assert.NilError(t, err)
+	assert.Assert(t, len(paths) > 0, "no file matches %s", pattern)
+	before, err = os.ReadFile(paths[0])
+	assert.NilError(t, err)
+	damaged := slices.Clone(before)
+	damaged[len(damaged)/2] ^= 0x40
+	assert.NilError(t, os.WriteFile(paths[0], damaged, 0o600))
+	return paths[0], before
+}
+
+// Guards against a host that can't open its log and so never votes again, while the others count it as a voter that is silent for a
+// while (review/6): with further disks lost, no majority is left.
+func TestHostWithADamagedLogComesBackAsNewVoter(t *testing.T) {
+	for _, file := range []string{"segment-*", "snapshot-*", "identity"} {
+		t.Run(file, func(t *testing.T) {
+			c := newCluster(t, 3, func(_ string, cfg *Config) { cfg.SnapshotBytes = 4 << 10 })
+			c.proposeMany(300)
+			old := c.get("host-2").Status().Self
+			assert.NilError(t, c.stopHost("host-2"))
+			damaged, _ := damageFile(t, filepath.Join(c.folder, "host-2", file))
+			kept, err := os.ReadFile(damaged)
+			assert.NilError(t, err)
+			votesAgain := func(h *host) {
+				t.Helper()
+				c.await("the host is a voter again", func() bool {
+					s := h.Status()
+					return len(s.Voters) == 3 && slices.Contains(s.Voters, s.Self) && !slices.Contains(s.Voters, old)
+				})
+			}
+			h := c.start("host-2")
+			votesAgain(h)
+			left := h.Status().LeftAside
+			assert.Equal(t, left.Folder, filepath.Join(c.folder, "host-2"))
+			assert.Assert(t, left.Cause != "")
+			c.awaitApplied(300)
+			c.propose(301)
+			c.awaitApplied(301)
+			found, err := os.ReadFile(damaged)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, found, kept)
+			// After a restart the host goes on with the new log.
+			self := h.Status().Self
+			assert.NilError(t, c.stopHost("host-2"))
+			h = c.start("host-2")
+			assert.Equal(t, h.Status().Self, self)
+			assert.Equal(t, h.Status().LeftAside.Folder, left.Folder)
+			votesAgain(h)
+			c.awaitApplied(301)
+		})
+	}
+}
+
+// Guards against two damaged logs in turn that leave a third copy on the disk, or a host that takes up the first of them again.
+func TestHostWhoseLogIsDamagedTwiceKeepsTheLastOne(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.proposeMany(20)
+	for turn := range 2 {
+		assert.NilError(t, c.stopHost("host-2"))
+		newest := filepath.Join(c.folder, "host-2")
+		if turn > 0 {
+			newest += "-2"
+		}
+		damageFile(t, filepath.Join(newest, "identity"))
+		h := c.start("host-2")
+		c.await("the host is a voter again", func() bool {
+			s := h.Status()
+			return len(s.Voters) == 3 && slices.Contains(s.Voters, s.Self)
+		})
+		assert.Equal(t, h.Status().LeftAside.Folder, newest)
+	}
+	c.awaitApplied(20)
+	folders, err := filepath.Glob(filepath.Join(c.folder, "host-2*"))
+	assert.NilError(t, err)
+	assert.DeepEqual(t, folders, []string{filepath.Join(c.folder, "host-2-2"), filepath.Join(c.folder, "host-2-3")})
+}
+
+// Guards against data that are given up while the group may need them: a log that can be read after all, as long as the group hasn't
+// taken the host back without it, is used again.
+func TestLogThatCanBeReadAfterAllIsUsedUntilTheHostIsReplaced(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.proposeMany(20)
+	c.awaitApplied(20)
+	self := c.get("host-2").Status().Self
+	c.stopAll()
+	damaged, before := damageFile(t, filepath.Join(c.folder, "host-2", "identity"))
+	h := c.start("host-2")
+	assert.Assert(t, h.Status().Self != self)
+	assert.NilError(t, c.stopHost("host-2"))
+	assert.NilError(t, os.WriteFile(damaged, before, 0o600))
+	h = c.start("host-2")
+	assert.Equal(t, h.Status().Self, self)
+	assert.Equal(t, h.Status().LeftAside.Folder, "")
+	c.start("host-1") // host-3 is lost: the group needs the vote and the data
+	c.propose(21)
+	c.awaitApplied(21)
+}
+
+// Guards against hosts with damaged logs that form a second, empty group.
+func TestHostsWithDamagedLogsFormNoGroup(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.proposeMany(5)
+	c.stopAll()
+	for _, name := range c.peers {
+		damageFile(t, filepath.Join(c.folder, name, "identity"))
+	}
+	for _, name := range c.peers {
+		c.start(name)
+	}
+	// Each host has announced itself to each other one many times.
+	for range 200 {
+		<-c.ticked
+	}
+	for _, name := range c.peers {
+		assert.Equal(t, c.get(name).Status().Group, "")
+	}
+}
--- a/internal/command/status/status.go
+++ b/internal/command/status/status.go
@@ -106,7 +106,7 @@
 		p.Table([]string{"HOST", "ADDRESS", "STATE", "ROLES", "DATA CENTRE", "VERSION", "RUNNING", "ENDPOINTS"}, hosts)
 		if len(groups) > 0 {
 			p.Linef("")
-			p.Table([]string{"HOST", "GROUP", "LEADER", "TERM", "APPLIED", "VOTERS", "LEARNERS", "LOG BYTES"}, groups)
+			p.Table([]string{"HOST", "GROUP", "LEADER", "TERM", "APPLIED", "VOTERS", "LEARNERS", "LOG BYTES", "LEFT ASIDE"}, groups)
 		}
 		if len(models) > 0 {
 			p.Linef("")
@@ -132,6 +132,7 @@
 		rows = append(rows, []string{
 			string(s.Name), fmt.Sprint(g.Group), string(g.Leader), fmt.Sprint(g.Term), fmt.Sprint(g.Applied),
 			strings.Join(trimIdentities(g.Voters), ","), strings.Join(trimIdentities(g.Learners), ","), fmt.Sprint(g.LogBytes),
+			g.LeftAside,
 		})
 	}
 	return rows
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/codec"
 	"github.com/citronglade/citronglade/internal/base/unit"
@@ -13,6 +15,9 @@
 	"github.com/citronglade/citronglade/internal/network/kind"
 )
 
+// silentMembers is the number of members that don't answer this host; 0 unless it leads the group.
+var silentMembers = metrics.NewGauge("citronglade_group_silent_members", nil)
+
 const (
 	// changeTimeout bounds a change of the group's members.
 	changeTimeout = 2 * time.Second
@@ -89,6 +94,7 @@
 	}
 	status := m.Status()
 	h.setLeadership(status.IsLeader && status.LeaseValid, status.Leader, status.Term)
+	silentMembers.Set(float64(len(status.Silent)))
 	if !status.IsLeader {
 		return
 	}
--- a/internal/host/operators/message.go
+++ b/internal/host/operators/message.go
@@ -36,6 +36,8 @@
 	Learners []string      `json:"learners,omitempty"`
 	LogBytes int64         `json:"log-bytes"`
 	LastSync time.Duration `json:"last-sync-ns"`
+	// LeftAside is the folder of a damaged log whose place the group's log on this host has taken.
+	LeftAside string `json:"left-aside,omitempty"`
 }
 
 // ModelStatus is the progress of the rollout of one model's weights.
--- a/internal/host/process/status.go
+++ b/internal/host/process/status.go
@@ -61,7 +61,7 @@
 func groupStatus(number int, s member.Status) operators.GroupStatus {
 	return operators.GroupStatus{
 		Group: number, Leader: unit.HostName(s.Leader), Term: s.Term, Applied: s.Applied, Voters: s.Voters,
-		Learners: s.Learners, LogBytes: s.LogBytes, LastSync: s.LastSync,
+		Learners: s.Learners, LogBytes: s.LogBytes, LastSync: s.LastSync, LeftAside: s.LeftAside.Folder,
 	}
 }
 
@@ -126,5 +126,10 @@
 	for _, group := range status.Groups {
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`citronglade_group_applied{group="%d"}`, group.Group), group.Applied)
 		metrics.WriteGaugeUint64(w, fmt.Sprintf(`citronglade_group_term{group="%d"}`, group.Group), group.Term)
+		leftAside := uint64(0)
+		if group.LeftAside != "" {
+			leftAside = 1
+		}
+		metrics.WriteGaugeUint64(w, fmt.Sprintf(`citronglade_group_log_left_aside{group="%d"}`, group.Group), leftAside)
 	}
 }
--- a/test/driver/cluster.go
+++ b/test/driver/cluster.go
@@ -24,6 +24,13 @@
 // timeout of a request.
 const startTimeout = 30 * time.Second
 
+const (
+	// firstPayload is the offset in a log's segment of the first record's payload, behind its header.
+	firstPayload = 20
+	// identityDigits is the length of a log's identity.
+	identityDigits = 32
+)
+
 // Host is the configuration of one host process: its name, roles, listen addresses and additional flags.
 type Host struct {
 	Name                                      string
@@ -176,6 +183,43 @@
 	return nil
 }
 
+// DamageLogs flips a bit in the first record of each log of a host. It fails if the process of the host is running.
+func (c *Cluster) DamageLogs(name string) error {
+	if c.Running(name) {
+		return fault.Conflict.New("%s is still running", name)
+	}
+	segments, err := filepath.Glob(filepath.Join(c.dataFolder(name), "group-*", "segment-*"))
+	if err != nil {
+		return fault.Internal.Wrap(err, "cannot list the logs of %s", name)
+	}
+	damaged := map[string]bool{}
+	for _, path := range segments {
+		if damaged[filepath.Dir(path)] {
+			continue
+		}
+		damaged[filepath.Dir(path)] = true
+		data, err := os.ReadFile(filepath.Clean(path))
+		if err != nil {
+			return fault.DiskFailed.Wrap(err, "cannot read %s", path)
+		}
+		data[firstPayload] ^= 1
+		if err := os.WriteFile(path, data, 0o600); err != nil {
+			return fault.DiskFailed.Wrap(err, "cannot write %s", path)
+		}
+	}
+	return nil
+}
+
+// LogIdentity returns the identity in the first log that a host kept of a group, 32 hex digits.
+func (c *Cluster) LogIdentity(name string, group int) (string, error) {
+	path := filepath.Join(c.dataFolder(name), fmt.Sprintf("group-%d", group), "identity")
+	data, err := os.ReadFile(filepath.Clean(path))
+	if err != nil || len(data) < identityDigits {
+		return "", fault.DiskFailed.Wrap(err, "cannot read %s", path)
+	}
+	return string(data[:identityDigits]), nil
+}
+
 func (c *Cluster) dataFolder(name string) string {
 	return filepath.Join(c.Folder, "data", name)
 }
--- a/test/scenarios/commands_test.go
+++ b/test/scenarios/commands_test.go
@@ -33,6 +33,7 @@
 	"thaw":          withoutNegation((*scenario).thaw),
 	"restart":       withoutNegation((*scenario).restart),
 	"wipe-disk":     withoutNegation((*scenario).wipeDisk),
+	"damage-logs":   withoutNegation((*scenario).damageLogs),
 	"cut":           withoutNegation(func(s *scenario, _ *testscript.TestScript, args []string) { s.setPartition(args, true) }),
 	"heal":          withoutNegation(func(s *scenario, _ *testscript.TestScript, args []string) { s.setPartition(args, false) }),
 	"leader":        withoutNegation((*scenario).leader),
@@ -223,6 +224,13 @@
 	}
 }
 
+// damageLogs NAME... flips a bit in the logs of hosts that have exited, in records that were synced.
+func (s *scenario) damageLogs(ts *testscript.TestScript, args []string) {
+	for _, name := range args {
+		ts.Check(s.cluster.DamageLogs(name))
+	}
+}
+
 // setPartition implements the commands cut and heal. Two names stand for the link between these hosts, one name for all links
 // of that host, and no name for all links.
 func (s *scenario) setPartition(args []string, partitioned bool) {
--- a/test/scenarios/expect_test.go
+++ b/test/scenarios/expect_test.go
@@ -40,6 +40,7 @@
 	"renewed":     (*scenario).expectRenewed,
 	"grown":       (*scenario).expectGrown,
 	"voters":      (*scenario).expectVoters,
+	"replaced":    (*scenario).expectReplaced,
 	"term":        (*scenario).expectTerm,
 	"record":      (*scenario).expectRecord,
 }
@@ -456,6 +457,29 @@
 	})
 }
 
+// expectReplaced HOST waits until the host has left its damaged logs aside and votes in every group with its new logs.
+func (s *scenario) expectReplaced(ts *testscript.TestScript, args []string, named options) {
+	host := args[0]
+	s.wait(ts, host+" votes with new logs", func() error {
+		return s.checkStatuses(named, func(status operators.HostStatus) error {
+			for _, group := range status.Groups {
+				if status.Name == unit.HostName(host) && group.LeftAside == "" {
+					return fault.Conflict.New("group %d on %s has no log left aside", group.Group, host)
+				}
+				identity, err := s.cluster.LogIdentity(host, group.Group)
+				if err != nil {
+					return err
+				}
+				votes := func(voter string) bool { return strings.HasPrefix(voter, host+"/") }
+				if at := slices.IndexFunc(group.Voters, votes); at < 0 || group.Voters[at] == host+"/"+identity {
+					return fault.Conflict.New("group %d on %s has the voters %v", group.Group, status.Name, group.Voters)
+				}
+			}
+			return nil
+		})
+	})
+}
+
 // expectTerm save NAME stores the term of group 0 on the hosts in the variable TERM_NAME. expectTerm same NAME fails if a
 // host's term differs from the stored one.
 func (s *scenario) expectTerm(ts *testscript.TestScript, args []string, named options) {
