Reset the connection of an HTTP/1.0 caller whose answer breaks off

Reported by other operators: a replica stopped in the middle of its answer's head, and callers got a 200 with an empty or a short body, framed as whole. What callers saw here: a caller of HTTP/1.0 whose stream had begun got a 200 whose three events looked like the whole stream, when the next replica stopped in the middle of its head.

Cause: an aborted handler closes the connection, which is how an answer to HTTP/1.0 ends that has neither chunks nor a length.

Change: such a connection is reset. Callers of HTTP/1.1 miss the last chunk or a part of the length, as before.

Tests: TestABrokenAnswerDoesNotLookWhole and the subtest 'stream of a caller of HTTP/1.0' of TestAHeadThatBreaksOffIsNoSuccess failed before.

--- a/internal/network/connections/heads.go
+++ b/internal/network/connections/heads.go
@@ -110,7 +110,7 @@
 		}
 		switch served, closed := l.serve(c); {
 		case served:
-			next.ServeHTTP(w, r)
+			c.serve(next, w, r)
 		case closed:
 			panic(http.ErrAbortHandler) // nobody reads an answer
 		default:
@@ -121,6 +121,19 @@
 	})
 }
 
+// serve passes a request to the handler. If the answer breaks off, the connection of a client of HTTP/1.0 is reset: without chunks, a connection
+// that is closed looks like the end of the answer.
+func (c *connection) serve(next http.Handler, w http.ResponseWriter, r *http.Request) {
+	whole := false
+	defer func() {
+		if !whole && !r.ProtoAtLeast(1, 1) {
+			_ = c.SetLinger(0) // fails only if the connection is closed
+		}
+	}()
+	next.ServeHTTP(w, r)
+	whole = true
+}
+
 // Refuse answers with status 503 and the error as text.
 func Refuse(w http.ResponseWriter, err error) {
 	if after, ok := fault.RetryAfterOf(err); ok {
