Keep the last saved state when saving fails more than once

While looking for what a full disk leaves behind: two failed saves in a row destroyed both files of a control host's saved state, so that a start after that, of all hosts together, knew neither table nor endpoints until there was a leader and the endpoints had reported again.

Cause: a failed save advanced the sequence number, and the next one truncated the other file.

Change: the number advances only with a successful save; a failed one writes the same file again. The format is unchanged.

Test: TestSavesThatFailLeaveTheStateBefore failed with the number advanced before the write (no state loaded after the second failure).

--- a/internal/control/savedstate/file.go
+++ b/internal/control/savedstate/file.go
@@ -43,12 +43,13 @@
 // File stores a State in a pair of files in one folder. It isn't safe for concurrent use.
 type File struct {
 	folder   string
-	sequence uint64
+	sequence uint64 // of the last state that was saved or loaded
+	write    func(path string, data []byte) error
 }
 
 // New returns the files of a folder, which must exist when Save is called.
 func New(folder string) *File {
-	return &File{folder: folder}
+	return &File{folder: folder, write: writeAndSync}
 }
 
 // Load returns the newest intact state, false if there is none. Damaged files count as missing. It fails with
@@ -81,21 +82,23 @@
 	return state, s.Sequence, true
 }
 
-// Save writes the state to the next file in turn and syncs it. It fails with fault.DiskFailed.
+// Save writes the state to the next file in turn and syncs it. It fails with fault.DiskFailed; the file is then written again by the next
+// call, so that the other one keeps the state before.
 func (f *File) Save(state State) error {
 	encoded, err := codec.Marshal(state)
 	if err != nil {
 		return err
 	}
-	f.sequence++
-	data, err := codec.Marshal(fileContent{Sequence: f.sequence, Checksum: xxhash.Sum64(encoded), State: encoded})
+	sequence := f.sequence + 1
+	data, err := codec.Marshal(fileContent{Sequence: sequence, Checksum: xxhash.Sum64(encoded), State: encoded})
 	if err != nil {
 		return err
 	}
-	path := f.path(int(f.sequence % fileCount))
-	if err := writeAndSync(path, data); err != nil {
+	path := f.path(int(sequence % fileCount))
+	if err := f.write(path, data); err != nil {
 		return fault.DiskFailed.Wrap(err, "cannot write %s", path)
 	}
+	f.sequence = sequence
 	return nil
 }
 
