Save a control host's state again after a save that failed

While looking for what a full disk leaves behind: what changed just before a failed save was saved only when it changed once more. After a restart of all hosts together they didn't know it.

Cause: the state was marked as saved before it was written.

Change: it is marked as saved afterwards.

Test: TestAStateThatCouldNotBeSavedIsSavedLater failed on the code before (no state after the folder was there).

--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -233,12 +233,12 @@
 		"crashes", len(state.Crashes), "causes", len(state.Causes))
 }
 
-// saveState saves what this host knows for its next start, if it has changed.
+// saveState saves what this host knows for its next start, if it has changed since it was last saved.
 func (h *Hub) saveState(context.Context) {
 	h.mu.Lock()
-	content := h.registry.ContentNumber()
+	content, book := h.registry.ContentNumber(), h.unsavedBookChanges
 	crashes, causes := h.crashes.Number(), h.crashCauses.Number()
-	if content == h.savedEndpoints && h.unsavedBookChanges == 0 && crashes == h.savedCrashes && causes == h.savedCauses {
+	if content == h.savedEndpoints && book == 0 && crashes == h.savedCrashes && causes == h.savedCauses {
 		h.mu.Unlock()
 		return
 	}
@@ -247,11 +247,15 @@
 		Table: h.tablePage, Weights: maps.Clone(h.weights), Endpoints: h.registry.Since(now, 0), Crashes: h.crashes.Export(now),
 		Causes: h.crashCauses.Export(now),
 	}
-	h.savedEndpoints, h.unsavedBookChanges, h.savedCrashes, h.savedCauses = content, 0, crashes, causes
 	h.mu.Unlock()
 	if err := h.stateFile.Save(state); err != nil {
 		h.Log.Warn("state-not-saved", "cause", err.Error())
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.savedEndpoints, h.savedCrashes, h.savedCauses = content, crashes, causes
+	h.unsavedBookChanges -= book
 }
 
 func (h *Hub) memberConfig() member.Config {
