Control hosts whose log is closed no longer say that they lead

While looking for what a full disk leaves behind: a leader whose disk refuses writes closes its log, but went on telling the other control hosts that it leads, for as long as the disk was full. They then followed either leader's list of replicas that change their weights, and took the age of permits for that of a leader that issues some.

Cause: the leadership was updated only from an open log.

Change: without an open log the host doesn't lead.

Tests: TestAHostWhoseLogIsClosedDoesNotSayThatItLeads failed before (timeout after 4 s). TestDisksThatAreFullInTurn fills the disks of five control hosts in turn, never two at once, in six ways (all writes, bytes, large writes, names, the folder's sync, no free space), while tables are submitted, hosts lose their disks and restart; each change must be accepted within 4 s, and all hosts vote again at the end.

--- a/internal/host/hub/hub.go
+++ b/internal/host/hub/hub.go
@@ -14,6 +14,7 @@
 	"github.com/oklog/run"
 
 	"github.com/citronglade/citronglade/internal/admission/usage"
+	"github.com/citronglade/citronglade/internal/agreement/journal"
 	"github.com/citronglade/citronglade/internal/agreement/member"
 	"github.com/citronglade/citronglade/internal/agreement/quorum"
 	"github.com/citronglade/citronglade/internal/base/codec"
@@ -95,6 +96,8 @@
 	LeaseWait time.Duration
 	// ReportSilence is how long a replica's reports may be missing before the replica gets no more orders.
 	ReportSilence time.Duration
+	// Files are the functions with which the group's log is stored, by default the operating system's.
+	Files journal.Files
 }
 
 // Hub is the control role of one process. It is safe for concurrent use.
@@ -264,7 +267,7 @@
 	return member.Config{
 		Group: BookGroup, Self: string(h.Name), Peers: peers, Join: !form, Folder: filepath.Join(h.DataFolder, "book"),
 		Timer: h.Timer, Send: h.sendGroupMessage, Tick: groupTick, Heartbeat: groupHeartbeat, Election: groupElection,
-		Seed: uint64(h.Incarnation),
+		Seed: uint64(h.Incarnation), Files: h.Files,
 	}
 }
 
--- a/internal/host/hub/loops.go
+++ b/internal/host/hub/loops.go
@@ -90,6 +90,8 @@
 func (h *Hub) planVoters(ctx context.Context) {
 	m, err := h.group.member()
 	if err != nil {
+		h.setLeadership(false, "", 0)
+		silentMembers.Set(0)
 		return
 	}
 	status := m.Status()
