Let the archive of the record go on once its full disk has room

Reported by other operators: the disks of counted machines were full for a few seconds each, one after another, and long after the last had room again nothing was taken any more, while all processes ran.

Cause: those three operations gave fault.DiskFailed for every error, which is final, since the content of the files is unknown. After a full disk it is known: all records up to the last synced one, and maybe a part of the next.

Change: a full disk gives fault.DiskFull there, too. The next call first cuts the file off after the last synced record and syncs it, and writes only if that succeeds. A folder whose parent couldn't be synced is removed again, so that it doesn't count as durable. Other errors are final as before.

--- a/internal/record/archive/archive.go
+++ b/internal/record/archive/archive.go
@@ -44,7 +44,9 @@
 	MaxBytes     int64
 	MaxAge       time.Duration
 	writeAt      func(file *os.File, data []byte, offset int64) error
+	truncate     func(file *os.File, size int64) error
 	sync         func(*os.File) error
+	syncFolder   func(folder string) error
 }
 
 // Archive is safe for concurrent use. Its folder has a folder for each host, which has a folder for each incarnation:
@@ -80,6 +82,12 @@
 	if options.sync == nil {
 		options.sync = (*os.File).Sync
 	}
+	if options.truncate == nil {
+		options.truncate = (*os.File).Truncate
+	}
+	if options.syncFolder == nil {
+		options.syncFolder = syncFolder
+	}
 	if options.writeAt == nil {
 		options.writeAt = func(file *os.File, data []byte, offset int64) error {
 			_, err := file.WriteAt(data, offset)
@@ -89,7 +97,7 @@
 	a := &Archive{
 		folder: folder, options: options, streams: map[streamID]*stream{}, newestStored: map[unit.HostName]unit.Incarnation{},
 	}
-	if err := createFolder(folder); err != nil {
+	if err := a.options.createFolder(folder); err != nil {
 		return nil, err
 	}
 	hosts, err := os.ReadDir(folder)
@@ -318,26 +326,30 @@
 }
 
 // createFolder creates a folder with its missing parents, and syncs the parent of each folder that it creates.
-func createFolder(folder string) error {
+func (o *Options) createFolder(folder string) error {
 	if _, err := os.Stat(folder); err == nil {
 		return nil
 	}
 	parent := filepath.Dir(folder)
 	if parent != folder {
-		if err := createFolder(parent); err != nil {
+		if err := o.createFolder(parent); err != nil {
 			return err
 		}
 	}
 	if err := os.Mkdir(folder, 0o700); err != nil && !os.IsExist(err) {
 		return wrapDiskError(err, "cannot create a folder")
 	}
-	return syncFolder(parent)
+	if err := o.syncFolder(parent); err != nil {
+		// The next call must not take the folder for a durable one.
+		return wrapDiskError(errors.Join(err, os.Remove(folder)), "cannot sync a folder")
+	}
+	return nil
 }
 
-// wrapDiskError returns fault.DiskFull for a full disk, after which the files are unchanged, and fault.DiskFailed for all
+// wrapDiskError returns fault.DiskFull for a full disk, after which the synced records are unchanged, and fault.DiskFailed for all
 // other errors, after which the archive refuses further writes.
 func wrapDiskError(err error, message string) error {
-	if errors.Is(err, syscall.ENOSPC) {
+	if errors.Is(err, syscall.ENOSPC) || errors.Is(err, syscall.EDQUOT) {
 		return fault.DiskFull.Wrap(err, "%s", message)
 	}
 	return fault.DiskFailed.Wrap(err, "%s", message)
@@ -346,26 +358,32 @@
 func syncFolder(folder string) error {
 	file, err := os.Open(folder) //nolint:gosec // a folder below the data folder
 	if err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot open a folder")
-	}
-	defer func() { _ = file.Close() }()
-	if err := file.Sync(); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot sync a folder")
+		return err
 	}
-	return nil
+	return errors.Join(file.Sync(), file.Close())
 }
 
-func truncateSegment(path string, size int64) error {
+// settleSegment cuts a segment off after its last intact record and syncs it.
+func (o *Options) settleSegment(path string, size int64) error {
 	file, err := os.OpenFile(path, os.O_RDWR, 0) //nolint:gosec // a segment below the data folder
 	if err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot open a segment")
+		return wrapDiskError(err, "cannot open a segment")
 	}
 	defer func() { _ = file.Close() }()
-	if err := file.Truncate(size); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot truncate a segment after its last intact record")
+	return o.cut(file, size)
+}
+
+// cut removes what follows the intact records of a segment, if there is anything, and syncs it.
+func (o *Options) cut(file *os.File, size int64) error {
+	info, err := file.Stat()
+	if err == nil && info.Size() > size {
+		err = o.truncate(file, size)
+	}
+	if err != nil {
+		return wrapDiskError(err, "cannot cut off a segment after its last intact record")
 	}
-	if err := file.Sync(); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot sync a segment")
+	if err := o.sync(file); err != nil {
+		return wrapDiskError(err, "cannot sync a segment")
 	}
 	return nil
 }
--- a/internal/record/archive/prune.go
+++ b/internal/record/archive/prune.go
@@ -100,7 +100,7 @@
 	}
 	if at == len(s.segments)-1 {
 		s.closeFile()
-		s.size = 0
+		s.size, s.torn = 0, false
 	}
 	if err := os.Remove(s.path(first)); err != nil {
 		return false, fault.DiskFailed.Wrap(err, "cannot remove a segment")
--- a/internal/record/archive/stream.go
+++ b/internal/record/archive/stream.go
@@ -35,6 +35,7 @@
 	segments []uint64
 	size     int64 // synced bytes of the last segment
 	file     *os.File
+	torn     bool         // file may have bytes behind size, of a record that a full disk didn't take
 	end      chain.Link   // last synced entry
 	recent   []chain.Link // latest synced entries, in order
 	waiting  []*pendingStore
@@ -181,7 +182,7 @@
 	if s.loaded || s.fatalErr != nil {
 		return s.fatalErr
 	}
-	if err := createFolder(s.folder); err != nil {
+	if err := s.options.createFolder(s.folder); err != nil {
 		return err
 	}
 	segments, err := listSegments(s.folder)
@@ -200,7 +201,7 @@
 			return fault.Corrupt.Wrap(err, "segment %s", s.path(last))
 		}
 		if intact < len(data) {
-			if err := truncateSegment(s.path(last), int64(intact)); err != nil {
+			if err := s.options.settleSegment(s.path(last), int64(intact)); err != nil {
 				return err
 			}
 		}
@@ -212,7 +213,7 @@
 		}
 		// The host stopped before the first record of a new segment was synced.
 		if err := os.Remove(s.path(last)); err != nil {
-			return fault.DiskFailed.Wrap(err, "cannot remove an empty segment")
+			return wrapDiskError(err, "cannot remove an empty segment")
 		}
 		s.segments = s.segments[:len(s.segments)-1]
 	}
@@ -230,17 +231,22 @@
 	if err != nil {
 		return err
 	}
+	if err := s.repair(); err != nil {
+		return err
+	}
 	if err := s.openSegmentFor(entries[0].Sequence); err != nil {
 		return err
 	}
 	if err := s.options.writeAt(s.file, record, s.size); err != nil {
-		if truncateErr := s.file.Truncate(s.size); truncateErr != nil {
-			return fault.DiskFailed.Wrap(truncateErr, "cannot remove a half-written record")
+		s.torn = true
+		if failure := s.repair(); errorx.IsOfType(failure, fault.DiskFailed) {
+			return failure
 		}
 		return wrapDiskError(err, "cannot write a record")
 	}
 	if err := s.options.sync(s.file); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot sync %s", s.file.Name())
+		s.torn = true
+		return wrapDiskError(err, "cannot sync a record")
 	}
 	s.mu.Lock()
 	s.size += int64(len(record))
@@ -248,6 +254,18 @@
 	return nil
 }
 
+// repair removes what a record that a full disk didn't take may have left behind the last synced one. Until that succeeds nothing is written.
+func (s *stream) repair() error {
+	if !s.torn {
+		return nil
+	}
+	if err := s.options.cut(s.file, s.size); err != nil {
+		return err
+	}
+	s.torn = false
+	return nil
+}
+
 // openSegmentFor opens the last segment. If there is none or it is full, it creates one that starts with the sequence number.
 func (s *stream) openSegmentFor(sequence uint64) error {
 	s.mu.Lock()
@@ -264,9 +282,9 @@
 		return wrapDiskError(err, "cannot open a segment")
 	}
 	if create {
-		if err := syncFolder(s.folder); err != nil {
+		if err := s.options.syncFolder(s.folder); err != nil {
 			_ = file.Close()
-			return err
+			return wrapDiskError(err, "cannot sync the folder of a new segment")
 		}
 		s.segments = append(s.segments, sequence)
 		s.size = 0
@@ -316,7 +334,7 @@
 func (s *stream) releaseMemory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.writing {
+	if !s.writing && !s.torn {
 		s.closeFile()
 		s.loaded, s.recent = false, nil
 	}
