Sync the record entries that an archive finds when it starts

Cause: the last segment was only synced if a torn record had to be cut off.

Change: it is always synced when it is read for the first time. The log of the control groups does so already.

Test: TestEntriesFoundAtStartAreSyncedBeforeTheyCountAsStored failed before (0 syncs).

--- a/internal/record/archive/archive.go
+++ b/internal/record/archive/archive.go
@@ -363,7 +363,8 @@
 	return errors.Join(file.Sync(), file.Close())
 }
 
-// settleSegment cuts a segment off after its last intact record and syncs it.
+// settleSegment cuts a segment off after its last intact record and syncs it: a process that ended may have written records that it didn't
+// sync any more.
 func (o *Options) settleSegment(path string, size int64) error {
 	file, err := os.OpenFile(path, os.O_RDWR, 0) //nolint:gosec // a segment below the data folder
 	if err != nil {
--- a/internal/record/archive/full_disk_test.go
+++ b/internal/record/archive/full_disk_test.go
@@ -78,3 +78,24 @@
 		})
 	}
 }
+
+// Guards against an archive that acknowledges entries which the process before it had written and not synced.
+func TestEntriesFoundAtStartAreSyncedBeforeTheyCountAsStored(t *testing.T) {
+	folder := t.TempDir()
+	batches := singleEntryBatches("h", 1, "", 2)
+	before := openArchive(t, folder, DefaultOptions())
+	for _, b := range batches {
+		_, err := before.Store(b)
+		assert.NilError(t, err)
+	}
+	before.Close()
+	options, syncs := DefaultOptions(), 0
+	options.sync = func(file *os.File) error {
+		syncs++
+		return file.Sync()
+	}
+	through, err := openArchive(t, folder, options).Store(batches[1])
+	assert.NilError(t, err)
+	assert.Equal(t, through, uint64(2))
+	assert.Equal(t, syncs, 1)
+}
--- a/internal/record/archive/stream.go
+++ b/internal/record/archive/stream.go
@@ -200,10 +200,8 @@
 		if err != nil {
 			return fault.Corrupt.Wrap(err, "segment %s", s.path(last))
 		}
-		if intact < len(data) {
-			if err := s.options.settleSegment(s.path(last), int64(intact)); err != nil {
-				return err
-			}
+		if err := s.options.settleSegment(s.path(last), int64(intact)); err != nil {
+			return err
 		}
 		s.size = int64(intact)
 		if len(entries) > 0 {
