--- a/internal/agreement/member/config.go
+++ b/internal/agreement/member/config.go
@@ -29,8 +29,10 @@
 	Election       time.Duration // minimum election timeout, 400 ms by default; the maximum is twice this
 	SnapshotBytes  int64         // applied bytes between two snapshots, 4 MiB by default
 	MaxUncommitted int           // uncommitted entries beyond which proposals are rejected, 8192 by default
-	Seed           uint64        // for random election timeouts, which differ between hosts with the same seed
-	Files          journal.Files // the operating system's by default
+	// TrailingEntries is the number of entries before a snapshot that stay in memory for slow members, 1024 by default.
+	TrailingEntries uint64
+	Seed            uint64        // for random election timeouts, which differ between hosts with the same seed
+	Files           journal.Files // the operating system's by default
 }
 
 const (
@@ -66,6 +68,6 @@
 func (c *Config) coreConfig(self quorum.NodeID) quorum.Config {
 	return quorum.Config{
 		Self: self, Peers: c.Peers, Join: c.Join, Seed: c.Seed, HeartbeatInterval: c.Heartbeat, ElectionTimeout: c.Election,
-		MaxUncommitted: c.MaxUncommitted,
+		MaxUncommitted: c.MaxUncommitted, TrailingEntries: quorum.Index(c.TrailingEntries),
 	}
 }
--- a/internal/host/hub/full_disk_test.go
+++ b/internal/host/hub/full_disk_test.go
@@ -51,7 +51,13 @@
 	refusals
 )
 
-const smallWrite = 600
+const (
+	smallWrite = 600
+	// recordHeader is the size of the header of a log's record.
+	recordHeader = 20
+	// severalChunks is the size of a table whose snapshot is sent in several messages.
+	severalChunks = 5 << 19
+)
 
 // fillingDisk wraps the functions of the operating system's files.
 type fillingDisk struct {
@@ -206,7 +212,7 @@
 	config := h.hub.group.config
 	h.hub.group.config = func() (c member.Config) {
 		c = config()
-		c.SnapshotBytes = 128 << 10
+		c.SnapshotBytes, c.TrailingEntries = 128<<10, 4 // members that were away for a moment need a snapshot
 		return c
 	}
 	ctx, stop := context.WithCancel(context.Background())
@@ -245,6 +251,20 @@
 	s.start(name, h.folder, false)
 }
 
+// damage restarts a host with a flipped bit in the oldest record of its log.
+func (s *diskSite) damage(name unit.HostName) {
+	h := s.end(name)
+	segments, err := filepath.Glob(filepath.Join(h.folder, "book*", "segment-*"))
+	assert.NilError(s.t, err)
+	newest := segments[len(segments)-1]
+	oldest := segments[slices.IndexFunc(segments, func(path string) bool { return filepath.Dir(path) == filepath.Dir(newest) })]
+	data, err := os.ReadFile(oldest)
+	assert.NilError(s.t, err)
+	data[recordHeader] ^= 1
+	assert.NilError(s.t, os.WriteFile(oldest, data, 0o600))
+	s.start(name, h.folder, false)
+}
+
 // submit submits a table of the version through one of the hosts.
 func (s *diskSite) submit(through unit.HostName, version table.Version, size int) error {
 	ctx, cancel := context.WithTimeout(s.t.Context(), ackTimeout)
@@ -312,7 +332,8 @@
 }
 
 // Guards against control hosts that refuse changes, leave them unanswered or don't vote any more long after their disks had room again (Acks,
-// CONFIG): the disks are full in turn for a moment, never two at once, while changes are submitted, hosts lose their disks and restart.
+// CONFIG): the disks are full in turn for a moment, never two at once, while changes are submitted, hosts lose their disks, find their logs
+// damaged and restart.
 func TestDisksThatAreFullInTurn(t *testing.T) {
 	seeds, first := defaultFullDiskSeeds, 1
 	for variable, value := range map[string]*int{fullDiskSeedsVariable: &seeds, fullDiskFirstVariable: &first} {
@@ -355,26 +376,35 @@
 		if random.IntN(2) == 0 {
 			name = s.leader()
 		}
-		event := ""
+		event := "goes on"
 		switch random.IntN(6) {
-		case 0:
-			s.wipe(name) // its disk may be full while it catches up
-			event = "wiped"
+		case 0: // its disk may be full while it catches up
+			event = "was wiped"
+			s.waitUntilSettled(version, catchUpTime+ackTimeout) // no third host is lost meanwhile
+			s.wipe(name)
 		case 1:
+			event = "was restarted"
 			h := s.end(name)
 			s.start(name, h.folder, false)
-			event = "restarted"
+		case 2:
+			event = "has a damaged log"
+			s.waitUntilSettled(version, catchUpTime+ackTimeout)
+			s.damage(name)
 		}
 		kind := works + 1 + refusal(random.IntN(int(refusals)-1))
 		disk := s.host(name).disk
 		timer.Sleep(t.Context(), time.Duration(random.IntN(400))*time.Millisecond)
 		disk.set(kind)
-		t.Logf("turn %d: the disk of %s refuses %d %s", turn, name, kind, event)
+		t.Logf("turn %d: %s %s, its disk refuses %d", turn, name, event, kind)
 		until := time.Now().Add(300*time.Millisecond + time.Duration(random.IntN(2200))*time.Millisecond)
 		for time.Now().Before(until) {
 			version++
 			through := s.names()[random.IntN(controlHosts)]
-			assert.NilError(t, s.submit(through, version, 1+random.IntN(60_000)), "turn %d, version %d through %s, the disk of %s refuses %d %s", turn, version, through, name, kind, event)
+			size := 1 + random.IntN(60_000)
+			if random.IntN(10) == 0 {
+				size = severalChunks
+			}
+			assert.NilError(t, s.submit(through, version, size), "turn %d, version %d through %s, %s %s, its disk refuses %d", turn, version, through, name, event, kind)
 		}
 		disk.set(works)
 		if random.IntN(3) == 0 {
