Make written keys durable, and open an authority with the certificate of its key

A rotation replaced the key first and synced nothing, so that a break or a power loss could leave the new key with the old certificates. The authority opened without an error and signed certificates that no host accepts; or a file that the command had reported as written was empty.

Cause: files were renamed into place without syncs, in an order whose middle can't be used, and the first certificate was taken for that of the key.

Change: durablefile replaces a file with syncs of the file and its folder. The certificate is written before the key, and the authority is opened with the certificate of its key; if there is none it is corrupt.

--- a/internal/network/keys/authority.go
+++ b/internal/network/keys/authority.go
@@ -13,8 +13,10 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
+	"github.com/citronglade/citronglade/internal/base/durablefile"
 	"github.com/citronglade/citronglade/internal/base/fault"
 )
 
@@ -82,8 +84,8 @@
 	return authority, authority.save(folder)
 }
 
-// Open reads the newest authority in folder. It fails with fault.NotFound if there is none and with fault.Corrupt if its files
-// can't be parsed.
+// Open reads the authority whose key is in folder. It fails with fault.NotFound if there is none and with fault.Corrupt if its files
+// can't be parsed or the key belongs to none of the certificates.
 func Open(folder string) (*Authority, error) {
 	bundle, err := os.ReadFile(filepath.Clean(filepath.Join(folder, AuthorityFile)))
 	if err != nil {
@@ -105,7 +107,11 @@
 	if err != nil {
 		return nil, fault.Corrupt.Wrap(err, "cannot read the authority key in %s", folder)
 	}
-	return &Authority{certificate: certificates[0], key: key}, nil
+	at := slices.IndexFunc(certificates, func(c *x509.Certificate) bool { return key.PublicKey.Equal(c.PublicKey) })
+	if at < 0 {
+		return nil, fault.Corrupt.New("the authority key in %s belongs to none of the authority's certificates", folder)
+	}
+	return &Authority{certificate: certificates[at], key: key}, nil
 }
 
 // Issue writes a certificate NAME.pem and a private key NAME-key.pem for one host or operator to folder. The certificate is
@@ -122,7 +128,7 @@
 	if err := writeKey(filepath.Join(folder, KeyFile(name)), key); err != nil {
 		return err
 	}
-	return writeFile(filepath.Join(folder, CertificateFile(name)), encodePEM(certificatePEMType, raw), 0o644)
+	return durablefile.New().Replace(filepath.Join(folder, CertificateFile(name)), encodePEM(certificatePEMType, raw), 0o644)
 }
 
 // sign returns a DER-encoded certificate for the key.
@@ -200,7 +206,8 @@
 	return certificates, nil
 }
 
-// save writes the key and puts the certificate in front of those that folder already has.
+// save puts the certificate in front of those that folder already has, and then replaces the key. If that breaks off in between, the old key
+// is still there with its certificate.
 func (a *Authority) save(folder string) error {
 	bundlePath := filepath.Join(folder, AuthorityFile)
 	bundle := encodePEM(certificatePEMType, a.certificate.Raw)
@@ -208,10 +215,10 @@
 	if err == nil {
 		bundle = append(bundle, old...)
 	}
-	if err := writeKey(filepath.Join(folder, AuthorityKeyFile), a.key); err != nil {
+	if err := durablefile.New().Replace(bundlePath, bundle, 0o644); err != nil {
 		return err
 	}
-	return writeFile(bundlePath, bundle, 0o644)
+	return writeKey(filepath.Join(folder, AuthorityKeyFile), a.key)
 }
 
 func newKey() (*ecdsa.PrivateKey, error) {
@@ -233,19 +240,7 @@
 	if err != nil {
 		return fault.Internal.Wrap(err, "cannot encode a private key")
 	}
-	return writeFile(path, encodePEM(keyPEMType, raw), 0o600)
-}
-
-// writeFile replaces path atomically, so that a host that reloads its keys never reads a partly written file.
-func writeFile(path string, data []byte, mode os.FileMode) error {
-	temporary := path + ".new"
-	if err := os.WriteFile(temporary, data, mode); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot write %s", temporary)
-	}
-	if err := os.Rename(temporary, path); err != nil {
-		return fault.DiskFailed.Wrap(err, "cannot replace %s", path)
-	}
-	return nil
+	return durablefile.New().Replace(path, encodePEM(keyPEMType, raw), 0o600)
 }
 
 func encodePEM(blockType string, der []byte) []byte {
