--- a/internal/agreement/logfolder/log.go
+++ b/internal/agreement/logfolder/log.go
@@ -5,7 +5,6 @@
 package logfolder
 
 import (
-	"errors"
 	"os"
 	"path/filepath"
 	"slices"
@@ -56,7 +55,7 @@
 		return opened.orEarlier(cfg, before)
 	}
 	if err := removeAll(cfg.Folder, before[:len(before)-1]); err != nil {
-		return nil, errors.Join(err, opened.Close())
+		return nil, opened.closeAfter(err)
 	}
 	return opened, nil
 }
@@ -72,14 +71,14 @@
 			continue
 		}
 		if err != nil {
-			return nil, errors.Join(err, l.Close())
+			return nil, l.closeAfter(err)
 		}
 		unused, used := earlier, l
 		if earlier.joined() {
 			unused, used = l, earlier
 		}
 		if err := unused.Close(); err != nil {
-			return nil, errors.Join(err, used.Close())
+			return nil, used.closeAfter(err)
 		}
 		if used == earlier {
 			return earlier, nil
@@ -88,6 +87,14 @@
 	return l, nil
 }
 
+// closeAfter closes the log because of err, which it returns.
+func (l *Log) closeAfter(err error) error {
+	if closeErr := l.Close(); closeErr != nil {
+		return errorx.Decorate(err, "the log couldn't be closed either: %v", closeErr)
+	}
+	return err
+}
+
 // joined reports whether the log belongs to a member of a group.
 func (l *Log) joined() bool {
 	return l.Loaded.HardState.Group != ""
