--- a/review/_tools-3/case/main.go
+++ b/review/_tools-3/case/main.go
@@ -18,7 +18,6 @@
 	"lookups":  playLookups,
 	"last-key": playLastKey,
 	"writer":   playOtherWriter,
-	"changes":  playManyChanges,
 }
 
 func main() {
