--- a/review/_tools-3/case/main.go
+++ b/review/_tools-3/case/main.go
@@ -18,6 +18,7 @@
 	"lookups":  playLookups,
 	"last-key": playLastKey,
 	"writer":   playOtherWriter,
+	"wall":     playWall,
 }
 
 func main() {
--- a/review/_tools-3/rig/consumer.go
+++ b/review/_tools-3/rig/consumer.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// SendTo sends a request to one edge machine, once.
+func (p *Platform) SendTo(m *Machine, q Request) Outcome {
+	status, ok, _ := p.attempt(m, q, q.Deadline)
+	return Outcome{Status: status, OK: ok, Tries: 1}
+}
+
 func (p *Platform) attempt(m *Machine, q Request, left time.Duration) (status int, ok bool, after time.Duration) {
 	ctx, cancel := context.WithTimeout(context.Background(), left)
 	defer cancel()
--- a/review/_tools-3/rig/platform.go
+++ b/review/_tools-3/rig/platform.go
@@ -41,6 +41,8 @@
 	ready    int
 	client   *http.Client
 	starting sync.Mutex
+	links    *links
+	edgeLink int // port between machines as edge machines know it, where the links are
 }
 
 // Machine is one machine with one process.
@@ -68,12 +70,20 @@
 	if p.port, p.ready, p.link, err = p.freePorts(); err != nil {
 		return nil, err
 	}
+	p.edgeLink = p.link + 20
 	for i := range s.Core {
 		p.Core = append(p.Core, p.machine(fmt.Sprint("core-", i), 10+i, true))
 	}
 	for i := range s.Edges {
 		p.Edges = append(p.Edges, p.machine(fmt.Sprint("edge-", i), 100+i, false))
 	}
+	var core []string
+	for _, m := range p.Core {
+		core = append(core, m.IP)
+	}
+	if p.links, err = startLinks(core, p.edgeLink, p.link); err != nil {
+		return nil, err
+	}
 	for _, m := range p.Machines() {
 		if err := m.Start(); err != nil {
 			p.Stop()
@@ -120,6 +130,9 @@
 		m.Signal(syscall.SIGKILL)
 		m.Wait(5 * time.Second)
 	}
+	if p.links != nil {
+		p.links.close()
+	}
 	if os.Getenv("KEEP") == "" {
 		_ = os.RemoveAll(p.folder)
 	} else {
@@ -131,11 +144,13 @@
 	p := m.platform
 	listen := map[string]string{"Front": m.address(p.port), "Ready": m.address(p.ready)}
 	class, serves, role := "edge", "edge", "entry"
+	link := p.edgeLink
 	memory, disk := p.MemoryMB[1], 0
 	var data any
 	if m.core {
 		listen = map[string]string{"Control": m.address(p.port)}
 		class, serves, role, memory, disk = "core", "control", "control", p.MemoryMB[0], 128
+		link = p.link
 		folder := filepath.Join(p.folder, m.Name)
 		if err := os.MkdirAll(folder, 0o700); err != nil {
 			return "", err
@@ -149,7 +164,7 @@
 	settings := map[string]any{
 		"Node": m.Name, "Role": role, "MachineClass": class, "Serves": []string{serves}, "Ip": m.IP, "Zone": m.Zone, "Region": "norrland",
 		"Zones":  map[string]string{"umea-a": "norrland", "umea-b": "norrland", "lulea-a": "norrland", "sundsvall-a": "norrland"},
-		"Listen": listen, "PortRange": []int{p.link, p.link + 15}, "Seeds": seeds, "Bootstrap": m.first, "FaultCounted": m.core,
+		"Listen": listen, "PortRange": []int{link, link + 15}, "Seeds": seeds, "Bootstrap": m.first, "FaultCounted": m.core,
 		"Limits":  map[string]any{"CpuShare": 0.4, "Cores": 1, "MemoryMb": memory, "MaxFds": 4100, "LinkMbps": 1000.0, "DiskMb": disk},
 		"DataDir": data, "Discovery": "registration", "Entry": "vip", "HeartbeatMs": 1200,
 		"Contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "kvcache", "stream", "engine", "tenants"},
--- a/review/_tools-3/rig/server.go
+++ b/review/_tools-3/rig/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -20,6 +21,9 @@
 	Slots    int
 	Queue    int
 	Work     func(r *http.Request) time.Duration
+	// Models is what an engine says of its models, nil for a plain service. Answer writes an answer of another kind than Answer's.
+	Models []map[string]any
+	Answer func(w http.ResponseWriter, r *http.Request, stamp string)
 	// OnRun is called when a request begins to run.
 	OnRun func(s *Server, id string, r *http.Request, body []byte)
 
@@ -131,6 +135,9 @@
 			"Service": s.Service, "Address": s.listener.Addr().String(), "Zone": s.Zone, "Version": "v1", "Slots": s.Slots, "State": s.state,
 			"ColdRemainingMs": 0, "Sequence": s.sequence, "born": s.born,
 		}
+		if s.Models != nil {
+			body["Stage"], body["Models"] = "both", s.Models
+		}
 		s.mu.Unlock()
 		select {
 		case <-down:
@@ -160,6 +167,19 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch {
+	case s.Models == nil:
+	case r.URL.Path == "/api/report":
+		_ = json.NewEncoder(w).Encode(map[string]any{"Stage": "both", "Models": s.Models, "Busy": false, "Sequence": 0, "Queued": 0, "Running": 0, "KvUsed": 0, "KvTotal": 116883, "Handles": 0})
+		return
+	case r.URL.Path == "/api/kv-events":
+		select {
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+		}
+		_ = json.NewEncoder(w).Encode(map[string]any{"Epoch": 1, "Next": 1, "Lost": false, "Events": []any{}})
+		return
+	}
 	if int(s.waiting.Add(1)) > s.Slots+s.Queue {
 		s.waiting.Add(-1)
 		w.Header().Set("X-Not-Executed", "1")
@@ -187,6 +207,10 @@
 		return
 	}
 	w.Header().Set("X-Server-Stamp", id+"."+request)
+	if s.Answer != nil {
+		s.Answer(w, r, id+"."+request)
+		return
+	}
 	_, _ = io.WriteString(w, Answer(id, request))
 }
 
